Serve a first request over the whole path

A thin path as separate processes: an entry daemon on the decision core, a platform stand-in, model engine stand-ins and an order service stand-in.

--- /dev/null
+++ b/pkg/core/state/due.go
@@ -0,0 +1,92 @@
+package state
+
+import (
+	"cmp"
+	"container/heap"
+	"time"
+)
+
+// DueQueue holds keys by the time at which they are due. A key is held once;
+// scheduling it again moves it. Equal times come out in key order.
+type DueQueue[K cmp.Ordered] struct {
+	items dueHeap[K]
+	index map[K]*dueItem[K]
+}
+
+type dueItem[K cmp.Ordered] struct {
+	key K
+	at  time.Duration
+	pos int
+}
+
+// NewDueQueue returns an empty queue.
+func NewDueQueue[K cmp.Ordered]() *DueQueue[K] {
+	return &DueQueue[K]{index: map[K]*dueItem[K]{}}
+}
+
+// Schedule sets the time at which a key is due.
+func (q *DueQueue[K]) Schedule(key K, at time.Duration) {
+	if it, ok := q.index[key]; ok {
+		it.at = at
+		heap.Fix(&q.items, it.pos)
+		return
+	}
+	it := &dueItem[K]{key: key, at: at}
+	q.index[key] = it
+	heap.Push(&q.items, it)
+}
+
+// Cancel removes a key.
+func (q *DueQueue[K]) Cancel(key K) {
+	it, ok := q.index[key]
+	if !ok {
+		return
+	}
+	delete(q.index, key)
+	heap.Remove(&q.items, it.pos)
+}
+
+// Pop removes and returns the first key that is due at now. The second result
+// is false when none is due.
+func (q *DueQueue[K]) Pop(now time.Duration) (K, bool) {
+	if len(q.items) == 0 || q.items[0].at > now {
+		var zero K
+		return zero, false
+	}
+	it := heap.Pop(&q.items).(*dueItem[K])
+	delete(q.index, it.key)
+	return it.key, true
+}
+
+// Len returns the number of scheduled keys.
+func (q *DueQueue[K]) Len() int { return len(q.items) }
+
+type dueHeap[K cmp.Ordered] []*dueItem[K]
+
+func (h dueHeap[K]) Len() int { return len(h) }
+
+func (h dueHeap[K]) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].key < h[j].key
+}
+
+func (h dueHeap[K]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].pos, h[j].pos = i, j
+}
+
+func (h *dueHeap[K]) Push(x any) {
+	it := x.(*dueItem[K])
+	it.pos = len(*h)
+	*h = append(*h, it)
+}
+
+func (h *dueHeap[K]) Pop() any {
+	old := *h
+	it := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return it
+}
--- /dev/null
+++ b/pkg/core/state/message.go
@@ -0,0 +1,129 @@
+package state
+
+import (
+	"time"
+
+	"github.com/apricotgrade/apricotgrade/pkg/apierror"
+)
+
+// Message is a message between nodes. Exactly one field is set.
+type Message struct {
+	PollRequest    *PollRequest    `cbor:"1,keyasint,omitempty"`
+	PollReply      *PollReply      `cbor:"2,keyasint,omitempty"`
+	ConfigNotice   *ConfigNotice   `cbor:"3,keyasint,omitempty"`
+	ConfigRequest  *ConfigRequest  `cbor:"4,keyasint,omitempty"`
+	ConfigDocument *ConfigDocument `cbor:"5,keyasint,omitempty"`
+	ClaimQuery     *ClaimQuery     `cbor:"6,keyasint,omitempty"`
+	ClaimAnswer    *ClaimAnswer    `cbor:"7,keyasint,omitempty"`
+	OutcomeQuery   *OutcomeQuery   `cbor:"8,keyasint,omitempty"`
+	OutcomeAnswer  *OutcomeAnswer  `cbor:"9,keyasint,omitempty"`
+}
+
+// PollRequest asks a peer for everything that expires. The asker dates the
+// reply by the time at which it sent the request.
+type PollRequest struct {
+	Seq uint64 `cbor:"1,keyasint"`
+	// Cursor is the last change of the peer that the asker has.
+	Cursor uint64 `cbor:"2,keyasint,omitempty"`
+}
+
+// PollReply answers a PollRequest. Ages count back from the time of the reply.
+type PollReply struct {
+	Seq     uint64  `cbor:"1,keyasint"`
+	Cursor  uint64  `cbor:"2,keyasint,omitempty"`
+	Version Version `cbor:"3,keyasint"`
+	// Evidence is the age of the sender's configuration evidence; negative
+	// when it has none.
+	Evidence time.Duration `cbor:"4,keyasint"`
+	Accepted Version       `cbor:"5,keyasint,omitempty"`
+	Leaving  bool          `cbor:"6,keyasint,omitempty"`
+	// CaughtUp is false while the sender has started and does not yet know the
+	// configuration. Its reply then counts towards no majority.
+	CaughtUp bool `cbor:"7,keyasint,omitempty"`
+	// Verdicts holds those that changed since the cursor.
+	Verdicts []Verdict `cbor:"8,keyasint,omitempty"`
+	// VerdictAge is the age of the oldest evidence behind the unchanged ones.
+	VerdictAge time.Duration `cbor:"9,keyasint,omitempty"`
+	// Loads and Usage hold the sender's own counts that changed.
+	Loads []TargetCount  `cbor:"10,keyasint,omitempty"`
+	Usage []AccountValue `cbor:"11,keyasint,omitempty"`
+}
+
+// Verdict is a watcher's word on a replica group.
+type Verdict struct {
+	Group        GroupID       `cbor:"1,keyasint"`
+	Fence        Fence         `cbor:"2,keyasint"`
+	Whole        bool          `cbor:"3,keyasint"`
+	Age          time.Duration `cbor:"4,keyasint"`
+	Incarnations []Incarnation `cbor:"5,keyasint,omitempty"`
+	Straggler    bool          `cbor:"6,keyasint,omitempty"`
+	// Dead lists members without an answer, with the time since their first
+	// unanswered probe.
+	Dead []DeadMember `cbor:"7,keyasint,omitempty"`
+}
+
+// DeadMember is a member that does not answer a watcher.
+type DeadMember struct {
+	Host  HostID        `cbor:"1,keyasint"`
+	Since time.Duration `cbor:"2,keyasint"`
+}
+
+// TargetCount is a number of requests in flight at a target.
+type TargetCount struct {
+	Target TargetID `cbor:"1,keyasint"`
+	Count  int      `cbor:"2,keyasint"`
+}
+
+// ConfigNotice hints that a version was committed. It extends no deadline.
+type ConfigNotice struct {
+	Version Version `cbor:"1,keyasint"`
+}
+
+// ConfigRequest asks for the configuration of the sender's version.
+type ConfigRequest struct {
+	// Have is the document version that the asker holds.
+	Have Version `cbor:"1,keyasint"`
+}
+
+// ConfigDocument answers a ConfigRequest. Document is nil when the asker holds
+// it already.
+type ConfigDocument struct {
+	Head     Head      `cbor:"1,keyasint"`
+	Document *Document `cbor:"2,keyasint,omitempty"`
+	// PreviousNodes is the registry of the version before.
+	PreviousNodes []NodeEntry `cbor:"3,keyasint,omitempty"`
+}
+
+// ClaimQuery asks the holder of a claim for its state.
+type ClaimQuery struct {
+	Account AccountID `cbor:"1,keyasint"`
+	Key     string    `cbor:"2,keyasint"`
+	Request RequestID `cbor:"3,keyasint"`
+}
+
+// ClaimAnswer answers a ClaimQuery. ClaimHeld means that it is in flight;
+// ClaimNone that the asked node does not know the claim.
+type ClaimAnswer struct {
+	Account AccountID  `cbor:"1,keyasint"`
+	Key     string     `cbor:"2,keyasint"`
+	Request RequestID  `cbor:"3,keyasint"`
+	Phase   ClaimPhase `cbor:"4,keyasint"`
+	Answer  *Answer    `cbor:"5,keyasint,omitempty"`
+}
+
+// OutcomeQuery asks a node for the outcome of a request.
+type OutcomeQuery struct {
+	Seq     uint64    `cbor:"1,keyasint"`
+	Account AccountID `cbor:"2,keyasint"`
+	Request RequestID `cbor:"3,keyasint"`
+}
+
+// OutcomeAnswer answers an OutcomeQuery.
+type OutcomeAnswer struct {
+	Seq     uint64           `cbor:"1,keyasint"`
+	Known   bool             `cbor:"2,keyasint"`
+	Running bool             `cbor:"3,keyasint,omitempty"`
+	Outcome apierror.Outcome `cbor:"4,keyasint,omitempty"`
+	// Resume is where a generation can be resumed, when it can.
+	Resume *ResumePoint `cbor:"5,keyasint,omitempty"`
+}
--- /dev/null
+++ b/pkg/core/state/output.go
@@ -0,0 +1,175 @@
+package state
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/apricotgrade/apricotgrade/pkg/apierror"
+	"github.com/apricotgrade/apricotgrade/pkg/event"
+)
+
+// Output is one thing that a node wants done.
+type Output interface{ output() }
+
+// SendPeer sends a message over the link to a peer. It is dropped without a
+// link.
+type SendPeer struct {
+	To      NodeID
+	Message Message
+}
+
+// SetPeers says which peers to keep links to.
+type SetPeers struct{ Peers []NodeEntry }
+
+// StoreRequest is a request to the platform's stores. Exactly one of the
+// operations is set.
+type StoreRequest struct {
+	ID       uint64
+	Read     []string
+	Scan     string
+	Transact *Transaction
+	// PutObject and GetObject use the object store.
+	PutObject *Object
+	GetObject string
+}
+
+// Transaction writes all rows or none.
+type Transaction struct {
+	Conditions []Condition
+	Writes     []Write
+}
+
+// Condition demands the revision of a row; 0 demands that it is absent.
+type Condition struct {
+	Key      string
+	Revision uint64
+}
+
+// Write sets a row, or deletes it when Value is nil.
+type Write struct {
+	Key   string
+	Value []byte
+}
+
+// Object is an object of the object store.
+type Object struct {
+	Key   string
+	Value []byte
+}
+
+// FetchHosts asks for the platform's list of hosts.
+type FetchHosts struct{}
+
+// Probe asks a host how it is. The answer is a ProbeResult with the same
+// SentAt.
+type Probe struct {
+	Host    HostID
+	Address string
+	SentAt  time.Duration
+}
+
+// FetchLoad asks a target for its load report and cache events.
+type FetchLoad struct {
+	Target  TargetID
+	Address string
+	SentAt  time.Duration
+}
+
+// OrderKind is what an engine is told to do.
+type OrderKind uint8
+
+// Order kinds.
+const (
+	OrderLoad OrderKind = iota
+	OrderUnload
+	OrderRole
+)
+
+// EngineOrder is an order to the engine on a host. An engine that checks
+// fencing numbers refuses one lower than it holds.
+type EngineOrder struct {
+	Order   uint64
+	Host    HostID
+	Address string
+	Kind    OrderKind
+	Group   GroupID
+	Members []HostID
+	Fence   Fence
+	// Expiry is for how long the order may still take effect.
+	Expiry   time.Duration
+	Model    string
+	Version  string
+	Adapters []string
+	Role     string
+}
+
+// StartAttempt sends a request to a target.
+type StartAttempt struct {
+	Request RequestID
+	Attempt int
+	Target  TargetID
+	Address string
+	// Resume continues a generation in place of starting one.
+	Resume *ResumePoint
+	// NewConnection forbids a pooled connection and any replay.
+	NewConnection bool
+	Timeout       time.Duration
+}
+
+// CancelAttempt stops an attempt.
+type CancelAttempt struct {
+	Request RequestID
+	Attempt int
+}
+
+// Reply ends a request towards its caller. Exactly one of Refusal and Answer
+// is set, or neither when the attempt's own answer was whole.
+type Reply struct {
+	Request RequestID
+	Refusal *apierror.Error
+	Answer  *Answer
+	// Repeated is set when Answer was stored by an earlier request.
+	Repeated bool
+}
+
+// OperatorReply answers an OperatorCommand.
+type OperatorReply struct {
+	ID      uint64
+	Version Version
+	// Accepted is whether the version is in force everywhere.
+	Accepted bool
+	// Missing lists the nodes that have not reported it.
+	Missing []NodeID
+	Error   *apierror.Error
+}
+
+// LogEvent is a numbered log event.
+type LogEvent struct {
+	Event event.ID
+	Attrs []slog.Attr
+}
+
+// SetReadiness says whether the balancer may send requests here.
+type SetReadiness struct{ Ready bool }
+
+// StopAccepting says that the listeners of callers close.
+type StopAccepting struct{}
+
+// ExitReady says that the process may exit.
+type ExitReady struct{}
+
+func (SendPeer) output()      {}
+func (SetPeers) output()      {}
+func (StoreRequest) output()  {}
+func (FetchHosts) output()    {}
+func (Probe) output()         {}
+func (FetchLoad) output()     {}
+func (EngineOrder) output()   {}
+func (StartAttempt) output()  {}
+func (CancelAttempt) output() {}
+func (Reply) output()         {}
+func (OperatorReply) output() {}
+func (LogEvent) output()      {}
+func (SetReadiness) output()  {}
+func (StopAccepting) output() {}
+func (ExitReady) output()     {}
--- /dev/null
+++ b/pkg/core/state/row.go
@@ -0,0 +1,319 @@
+package state
+
+import (
+	"time"
+
+	"github.com/apricotgrade/apricotgrade/pkg/apierror"
+)
+
+// Self is this node as its settings describe it.
+type Self struct {
+	ID          NodeID
+	DataCentre  DataCentre
+	Address     string
+	Incarnation Incarnation
+	// DrainNotice is how long a node that shuts down still accepts requests
+	// after its readiness went off, so that the balancer has seen it.
+	DrainNotice time.Duration
+}
+
+// Configuration is this node's copy of the configuration. Written by the
+// configuration system.
+type Configuration struct {
+	Head     Head
+	Document Document
+	// Known is false until the node has a head from the platform or a majority.
+	Known bool
+	// EvidenceAt is the latest time on this node's clock for which it is known
+	// that no newer version had been accepted. Negative means never.
+	EvidenceAt time.Duration
+	// Fresh is whether new work may be sent, as of the present step.
+	Fresh bool
+	// Accepted is the latest version known to be accepted.
+	Accepted Version
+	// PreviousNodes is the registry of the version before Head.
+	PreviousNodes []NodeEntry
+}
+
+// Peer is another entry daemon. Written by the membership system.
+type Peer struct {
+	ID          NodeID
+	DataCentre  DataCentre
+	Address     string
+	Incarnation Incarnation
+	Linked      bool
+	// HeardAt dates the last poll reply by the send time of its request.
+	HeardAt time.Duration
+	// Version is the configuration version that it reported, dated VersionAt.
+	Version   Version
+	VersionAt time.Duration
+	Leaving   bool
+}
+
+// Host is a host of the platform. Listed fields are written by the membership
+// system, assignment fields by the placement system.
+type Host struct {
+	ID         HostID
+	Address    string
+	DataCentre DataCentre
+	Domain     DomainID
+	// Listed and Leaving come from the platform's lagging list.
+	Listed  bool
+	Leaving bool
+	// Probe is the last answer of the host's engine, dated ProbeAt by the send
+	// time of the probe.
+	Probe   ProbeAnswer
+	ProbeAt time.Duration
+	// FailedSince is the send time of the first probe without an answer since
+	// the last answer; 0 when the last probe was answered.
+	FailedSince time.Duration
+	// Group and Fence are the assignment in table row "host/<id>".
+	Group    GroupID
+	Fence    Fence
+	Revision uint64
+}
+
+// EnginePhase is the phase that a member reports.
+type EnginePhase uint8
+
+// Engine phases.
+const (
+	PhaseUnknown EnginePhase = iota
+	PhaseEmpty
+	PhaseLoading
+	PhaseReady
+	PhaseLeaving
+)
+
+// ProbeAnswer is what a member host says about itself.
+type ProbeAnswer struct {
+	Incarnation Incarnation `cbor:"1,keyasint" json:"incarnation"`
+	Phase       EnginePhase `cbor:"2,keyasint" json:"phase"`
+	Group       GroupID     `cbor:"3,keyasint" json:"group"`
+	Fence       Fence       `cbor:"4,keyasint" json:"fence"`
+	// Model, Version and Adapters are what is loaded.
+	Model    string   `cbor:"5,keyasint" json:"model"`
+	Version  string   `cbor:"6,keyasint" json:"version"`
+	Adapters []string `cbor:"7,keyasint" json:"adapters"`
+	// Latency is the round trip of the probe.
+	Latency time.Duration `cbor:"8,keyasint" json:"-"`
+	// ChecksFence is whether the engine refuses an old fencing number.
+	ChecksFence bool `cbor:"9,keyasint" json:"checks_fence"`
+}
+
+// Group is a replica group as the table service has it ("group/<id>"), with
+// the verdict on it. Row fields are written by the placement system, verdict
+// fields by the membership system.
+type Group struct {
+	ID       GroupID
+	Members  []HostID
+	Leader   HostID
+	Domain   DomainID
+	Fence    Fence
+	Phase    GroupPhase
+	Revision uint64
+	// Whole is the last verdict, dated WholeAt by the oldest probe behind it.
+	Whole   bool
+	WholeAt time.Duration
+	// Incarnations are those of the members, in the order of Members.
+	Incarnations []Incarnation
+	// Straggler is set when a member is much slower than the others.
+	Straggler bool
+}
+
+// GroupPhase is the phase of a replica group.
+type GroupPhase uint8
+
+// Group phases.
+const (
+	GroupPending GroupPhase = iota
+	GroupLoading
+	GroupServing
+	GroupDissolved
+)
+
+// GroupRow is the value of table row "group/<id>".
+type GroupRow struct {
+	Members []HostID   `cbor:"1,keyasint"`
+	Domain  DomainID   `cbor:"2,keyasint"`
+	Fence   Fence      `cbor:"3,keyasint"`
+	Phase   GroupPhase `cbor:"4,keyasint"`
+	Op      OpID       `cbor:"5,keyasint"`
+}
+
+// HostRow is the value of table row "host/<id>".
+type HostRow struct {
+	Group GroupID `cbor:"1,keyasint"`
+	Fence Fence   `cbor:"2,keyasint"`
+	Op    OpID    `cbor:"3,keyasint"`
+}
+
+// LeaseRow is the value of table row "lease/<data centre>".
+type LeaseRow struct {
+	Holder      NodeID        `cbor:"1,keyasint"`
+	Incarnation Incarnation   `cbor:"2,keyasint"`
+	Fence       Fence         `cbor:"3,keyasint"`
+	Renewal     uint64        `cbor:"4,keyasint"`
+	Duration    time.Duration `cbor:"5,keyasint"`
+	Op          OpID          `cbor:"6,keyasint"`
+}
+
+// Lease is this node's view of the placement lease of a data centre. Written
+// by the placement system.
+type Lease struct {
+	DataCentre DataCentre
+	Row        LeaseRow
+	Revision   uint64
+	// SeenAt is when this node first saw the present renewal.
+	SeenAt time.Duration
+	// HeldUntil is until when this node may act as the holder, counted from
+	// the send time of its last renewal that succeeded.
+	HeldUntil time.Duration
+}
+
+// Target is a destination of requests. Specification fields are written by
+// the routing system from the configuration, load fields from reports and
+// attempts.
+type Target struct {
+	ID         TargetID
+	Group      GroupID
+	Service    string
+	DataCentre DataCentre
+	Address    string
+	Model      string
+	Version    string
+	Adapters   []string
+	ColdLimit  int
+	WarmLimit  int
+	// Report is the last load report, dated ReportAt by its send time.
+	Report   LoadAnswer
+	ReportAt time.Duration
+	// Suspect is set by a connection error until the next good probe.
+	Suspect bool
+	// Limit is what the target bears over all nodes; Share is this node's part.
+	Limit int
+	Share int
+	// InFlight counts the attempts of this node; PeerInFlight what peers said.
+	InFlight     int
+	PeerInFlight int
+	// SentSinceReport counts attempts that the last report cannot include.
+	SentSinceReport int
+}
+
+// LoadAnswer is a target's load report.
+type LoadAnswer struct {
+	Incarnation Incarnation `cbor:"1,keyasint" json:"incarnation"`
+	// Completed counts requests finished in this incarnation.
+	Completed int64 `cbor:"2,keyasint" json:"completed"`
+	Running   int   `cbor:"3,keyasint" json:"running"`
+	Waiting   int   `cbor:"4,keyasint" json:"waiting"`
+	// Cold is set by a target that says itself that it is cold.
+	Cold bool `cbor:"5,keyasint" json:"cold"`
+	// Leaving is set by a target that is shutting down.
+	Leaving bool `cbor:"6,keyasint" json:"leaving"`
+}
+
+// Account is a client account with the limits in force. Specification fields
+// are written by the configuration system, usage by the admission system.
+type Account struct {
+	ID          AccountID
+	KeyHash     string
+	Weight      int
+	Concurrency int
+	InFlight    int
+	// PeerInFlight is what peers last reported.
+	PeerInFlight int
+	Queued       int
+	// Deficit is the account's credit in the fair queue, in tokens.
+	Deficit int64
+}
+
+// RequestKind tells model requests from requests to plain services.
+type RequestKind uint8
+
+// Request kinds.
+const (
+	KindModel RequestKind = iota
+	KindService
+)
+
+// RequestPhase is the phase of a request.
+type RequestPhase uint8
+
+// Request phases.
+const (
+	RequestQueued RequestPhase = iota
+	// RequestClaiming waits for the claim row.
+	RequestClaiming
+	// RequestClaimed holds its claim and may be sent once.
+	RequestClaimed
+	RequestSent
+	RequestEnded
+)
+
+// Request is a request of a caller. Arrival fields never change; Phase, Target
+// and Attempt are written by the admission system through its dispatch, Claim
+// fields by the claims system, outcome fields by the retry system.
+type Request struct {
+	Arrival RequestArrived
+	Phase   RequestPhase
+	// ArrivedAt and Deadline are on this node's clock.
+	ArrivedAt time.Duration
+	Deadline  time.Duration
+	Target    TargetID
+	Attempt   int
+	SentAt    time.Duration
+	// Tried lists the targets of failed attempts.
+	Tried []TargetID
+	// PassedOn is set once an answer byte went to the caller.
+	PassedOn bool
+	// Generation and Offset are the resume point at the engine.
+	Generation string
+	Offset     int64
+	Resumes    int
+	Outcome    apierror.Outcome
+	EndedAt    time.Duration
+	CallerGone bool
+}
+
+// ClaimPhase is the phase of a claim.
+type ClaimPhase uint8
+
+// Claim phases.
+const (
+	ClaimNone ClaimPhase = iota
+	ClaimHeld
+	ClaimNotRun
+	ClaimDone
+	ClaimUnknown
+)
+
+// ClaimRow is the value of table row "claim/<account>/<key>".
+type ClaimRow struct {
+	Phase       ClaimPhase  `cbor:"1,keyasint"`
+	BodyHash    string      `cbor:"2,keyasint"`
+	Holder      NodeID      `cbor:"3,keyasint"`
+	Incarnation Incarnation `cbor:"4,keyasint"`
+	Request     RequestID   `cbor:"5,keyasint"`
+	Op          OpID        `cbor:"6,keyasint"`
+	Answer      *Answer     `cbor:"7,keyasint,omitempty"`
+	// Object is the key of the answer in the object store when it is too large
+	// for a row.
+	Object  string `cbor:"8,keyasint,omitempty"`
+	Service string `cbor:"9,keyasint,omitempty"`
+}
+
+// Claim is this node's view of a claim row. Written by the claims system.
+type Claim struct {
+	Row      ClaimRow
+	Revision uint64
+	// Stored is whether the row's phase is in the table service.
+	Stored bool
+}
+
+// Answer is a whole answer of a plain service.
+type Answer struct {
+	Status      int    `cbor:"1,keyasint"`
+	ContentType string `cbor:"2,keyasint"`
+	Body        []byte `cbor:"3,keyasint"`
+}
--- /dev/null
+++ b/pkg/core/state/store.go
@@ -0,0 +1,90 @@
+package state
+
+import (
+	"strconv"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// Table keys of the platform's table service.
+const (
+	KeyHead        = "config/head"
+	PrefixDocument = "config/doc/"
+	PrefixAudit    = "audit/"
+	PrefixHost     = "host/"
+	PrefixGroup    = "group/"
+	PrefixLease    = "lease/"
+	PrefixClaim    = "claim/"
+)
+
+// versionDigits pads version numbers in keys, so that a scan is in order.
+const versionDigits = 12
+
+// KeyDocument returns the key of the document of a version.
+func KeyDocument(v Version) string { return PrefixDocument + padVersion(v) }
+
+// KeyAudit returns the key of the audit record of a version.
+func KeyAudit(v Version) string { return PrefixAudit + padVersion(v) }
+
+// KeyHost returns the key of a host's assignment.
+func KeyHost(id HostID) string { return PrefixHost + string(id) }
+
+// KeyGroup returns the key of a replica group.
+func KeyGroup(id GroupID) string { return PrefixGroup + string(id) }
+
+// KeyLease returns the key of the placement lease of a data centre.
+func KeyLease(dc DataCentre) string { return PrefixLease + string(dc) }
+
+// KeyClaim returns the key of a claim.
+func KeyClaim(account AccountID, key string) string {
+	return PrefixClaim + string(account) + "/" + key
+}
+
+func padVersion(v Version) string {
+	s := strconv.FormatUint(uint64(v), 10)
+	for len(s) < versionDigits {
+		s = "0" + s
+	}
+	return s
+}
+
+// Encode returns the CBOR form of a row value. Row values are plain structs,
+// which always encode.
+func Encode(v any) []byte {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		panic(errors.Wrap(err, "encode row value"))
+	}
+	return b
+}
+
+// Decode reads a row value.
+func Decode(b []byte, v any) error {
+	return errors.Wrap(cbor.Unmarshal(b, v), "decode row value")
+}
+
+// NewOp returns an operation id that no other node or incarnation uses.
+func (t *Tables) NewOp() OpID {
+	t.nextOp++
+	return OpID(string(t.Self.ID) + "." + strconv.FormatUint(uint64(t.Self.Incarnation), 36) +
+		"." + strconv.FormatUint(t.nextOp, 36))
+}
+
+// Store adds a store request to the outbox on behalf of the named system and
+// returns its id.
+func (t *Tables) Store(out *Outbox, system string, req StoreRequest) uint64 {
+	t.nextStore++
+	req.ID = t.nextStore
+	t.stores[req.ID] = system
+	out.Add(req)
+	return req.ID
+}
+
+// OwnsReply reports whether a store reply belongs to the named system.
+func (t *Tables) OwnsReply(system string, reply StoreReply) bool {
+	return t.stores[reply.ID] == system
+}
+
+// FinishReply forgets a store request after all systems have seen its reply.
+func (t *Tables) FinishReply(id uint64) { delete(t.stores, id) }
--- /dev/null
+++ b/pkg/daemon/call.go
@@ -0,0 +1,69 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	"github.com/apricotgrade/apricotgrade/pkg/platform"
+)
+
+// storeTimeout bounds a call to the platform. A call that takes longer has an
+// unknown effect.
+const storeTimeout = 2 * time.Second
+
+// call carries out an output that waits for a network answer and feeds the
+// answer to the core.
+func (d *Daemon) call(ctx context.Context, out state.Output) {
+	switch out := out.(type) {
+	case state.StoreRequest:
+		d.store(ctx, out)
+	case state.FetchHosts:
+		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		if hosts, err := d.platform.List(ctx); err == nil {
+			d.Feed(state.HostList{Hosts: hosts})
+		}
+	case state.Probe:
+		answer, err := d.targets.Probe(ctx, out.Address)
+		d.Feed(state.ProbeResult{Host: out.Host, SentAt: out.SentAt, OK: err == nil, Answer: answer})
+	case state.FetchLoad:
+		answer, err := d.targets.Load(ctx, out.Address)
+		d.Feed(state.LoadReport{Target: out.Target, SentAt: out.SentAt, OK: err == nil, Answer: answer})
+	case state.EngineOrder:
+		res, err := d.targets.Order(ctx, out)
+		res.Order, res.Host = out.Order, out.Host
+		res.OK = res.OK && err == nil
+		d.Feed(res)
+	}
+}
+
+func (d *Daemon) store(ctx context.Context, req state.StoreRequest) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	reply := state.StoreReply{ID: req.ID}
+	var err error
+	switch {
+	case req.Transact != nil:
+		var res platform.Result
+		res, err = d.platform.Transact(ctx, *req.Transact)
+		reply.Result, reply.Rows = res.Result, res.Rows
+	case req.Scan != "":
+		reply.Rows, err = d.platform.Scan(ctx, req.Scan)
+	case req.Read != nil:
+		reply.Rows, err = d.platform.Read(ctx, req.Read)
+	case req.PutObject != nil:
+		err = d.platform.Put(ctx, req.PutObject.Key, req.PutObject.Value)
+	default:
+		reply.Object, err = d.platform.Get(ctx, req.GetObject)
+	}
+	if err != nil {
+		reply.Result = state.StoreUnknown
+		if errors.Is(err, platform.ErrUnavailable) {
+			reply.Result = state.StoreUnavailable
+		}
+	}
+	d.Feed(reply)
+}
--- /dev/null
+++ b/pkg/daemon/daemon.go
@@ -0,0 +1,234 @@
+// Package daemon runs a node: one loop feeds sockets, timers and replies to the
+// decision core and carries out its outputs.
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core"
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	"github.com/apricotgrade/apricotgrade/pkg/event"
+	"github.com/apricotgrade/apricotgrade/pkg/platform"
+	"github.com/apricotgrade/apricotgrade/pkg/target"
+)
+
+// inputBuffer is the number of inputs that may wait for the loop.
+const inputBuffer = 1024
+
+// Exchange is the side of the caller API in one request. Its methods are called
+// by the loop and must not block.
+type Exchange interface {
+	Start(state.StartAttempt)
+	Cancel(state.CancelAttempt)
+	Reply(state.Reply)
+}
+
+// Links is the side of the peer links. Its methods must not block.
+type Links interface {
+	SetPeers([]state.NodeEntry)
+	Send(to state.NodeID, m state.Message)
+}
+
+// Daemon owns a node.
+type Daemon struct {
+	node     *core.Node
+	platform platform.Platform
+	targets  *target.Client
+	links    Links
+	log      *slog.Logger
+
+	start     time.Time
+	inputs    chan state.Input
+	calls     chan func(*state.Tables)
+	submits   chan submission
+	exchanges map[state.RequestID]Exchange
+	operators map[uint64]chan state.OperatorReply
+	operate   chan operation
+	nextOp    uint64
+	ready     atomic.Bool
+	stop      chan struct{}
+	done      chan struct{}
+}
+
+type submission struct {
+	arrival  state.RequestArrived
+	exchange Exchange
+}
+
+type operation struct {
+	command state.OperatorCommand
+	reply   chan state.OperatorReply
+}
+
+// New returns a daemon. Links may be nil for a node without peers.
+func New(node *core.Node, p platform.Platform, targets *target.Client, links Links, log *slog.Logger) *Daemon {
+	return &Daemon{
+		node: node, platform: p, targets: targets, links: links, log: log,
+		start:     time.Now(),
+		inputs:    make(chan state.Input, inputBuffer),
+		calls:     make(chan func(*state.Tables)),
+		submits:   make(chan submission),
+		operate:   make(chan operation),
+		exchanges: map[state.RequestID]Exchange{},
+		operators: map[uint64]chan state.OperatorReply{},
+		stop:      make(chan struct{}),
+		done:      make(chan struct{}),
+	}
+}
+
+// Feed gives an input to the core. It blocks while the loop is busy and does
+// nothing once the loop has ended.
+func (d *Daemon) Feed(in state.Input) {
+	select {
+	case d.inputs <- in:
+	case <-d.done:
+	}
+}
+
+// Submit gives a request of a caller to the core.
+func (d *Daemon) Submit(arrival state.RequestArrived, exchange Exchange) {
+	select {
+	case d.submits <- submission{arrival, exchange}:
+	case <-d.done:
+	}
+}
+
+// Operate gives a change of an operator to the core and waits for its reply.
+func (d *Daemon) Operate(ctx context.Context, command state.OperatorCommand) (state.OperatorReply, error) {
+	reply := make(chan state.OperatorReply, 1)
+	select {
+	case d.operate <- operation{command, reply}:
+	case <-ctx.Done():
+		return state.OperatorReply{}, ctx.Err()
+	}
+	select {
+	case r := <-reply:
+		return r, nil
+	case <-ctx.Done():
+		return state.OperatorReply{}, ctx.Err()
+	}
+}
+
+// View runs a function on the tables inside the loop. The function must not
+// keep or change them.
+func (d *Daemon) View(f func(*state.Tables)) {
+	ran := make(chan struct{})
+	select {
+	case d.calls <- func(t *state.Tables) { f(t); close(ran) }:
+		<-ran
+	case <-d.done:
+	}
+}
+
+// Ready reports whether the balancer may send requests here.
+func (d *Daemon) Ready() bool { return d.ready.Load() }
+
+// Stopping is closed when the listeners of callers must close.
+func (d *Daemon) Stopping() <-chan struct{} { return d.stop }
+
+// Done is closed when the node has shut down.
+func (d *Daemon) Done() <-chan struct{} { return d.done }
+
+// Run runs the loop until a graceful shutdown has ended or the context is
+// cancelled, which cuts requests off.
+func (d *Daemon) Run(ctx context.Context) {
+	defer close(d.done)
+	ticker := time.NewTicker(state.TickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if d.step(ctx, state.Tick{}) {
+				return
+			}
+		case in := <-d.inputs:
+			if d.step(ctx, in) {
+				return
+			}
+		case s := <-d.submits:
+			d.exchanges[s.arrival.ID] = s.exchange
+			if d.step(ctx, s.arrival) {
+				return
+			}
+		case o := <-d.operate:
+			d.nextOp++
+			o.command.ID = d.nextOp
+			d.operators[o.command.ID] = o.reply
+			if d.step(ctx, o.command) {
+				return
+			}
+		case f := <-d.calls:
+			f(d.node.Tables())
+		}
+	}
+}
+
+func (d *Daemon) step(ctx context.Context, in state.Input) (exit bool) {
+	for _, out := range d.node.Step(time.Since(d.start), in) {
+		if d.carryOut(ctx, out) {
+			exit = true
+		}
+	}
+	return exit
+}
+
+func (d *Daemon) carryOut(ctx context.Context, out state.Output) (exit bool) {
+	switch out := out.(type) {
+	case state.StartAttempt:
+		if e := d.exchanges[out.Request]; e != nil {
+			e.Start(out)
+		}
+	case state.CancelAttempt:
+		if e := d.exchanges[out.Request]; e != nil {
+			e.Cancel(out)
+		}
+	case state.Reply:
+		if e := d.exchanges[out.Request]; e != nil {
+			delete(d.exchanges, out.Request)
+			e.Reply(out)
+		}
+	case state.OperatorReply:
+		if c := d.operators[out.ID]; c != nil {
+			delete(d.operators, out.ID)
+			c <- out
+		}
+	case state.SetPeers:
+		if d.links != nil {
+			d.links.SetPeers(out.Peers)
+		}
+	case state.SendPeer:
+		if d.links != nil {
+			d.links.Send(out.To, out.Message)
+		}
+	case state.SetReadiness:
+		d.ready.Store(out.Ready)
+	case state.StopAccepting:
+		close(d.stop)
+	case state.ExitReady:
+		return true
+	case state.LogEvent:
+		d.logEvent(ctx, out)
+	default:
+		go d.call(ctx, out)
+	}
+	return false
+}
+
+func (d *Daemon) logEvent(ctx context.Context, out state.LogEvent) {
+	entry, _ := event.Find(out.Event)
+	level := slog.LevelInfo
+	switch entry.Level {
+	case event.Warn:
+		level = slog.LevelWarn
+	case event.Error:
+		level = slog.LevelError
+	case event.Info:
+	}
+	attrs := append([]slog.Attr{slog.Int("event", int(out.Event))}, out.Attrs...)
+	d.log.LogAttrs(ctx, level, entry.Message, attrs...)
+}
--- /dev/null
+++ b/pkg/event/event.go
@@ -0,0 +1,109 @@
+// Package event is the catalogue of numbered log events. docs/events.md lists
+// them for operators; a test keeps the two the same.
+package event
+
+// ID is the number of a log event. Numbers are never reused.
+type ID int
+
+// Events of configuration: 1000 to 1099.
+const (
+	ConfigLoaded    ID = 1000
+	ConfigStale     ID = 1001
+	ConfigFresh     ID = 1002
+	ConfigCommitted ID = 1003
+	ConfigAccepted  ID = 1004
+	ConfigConflict  ID = 1005
+)
+
+// Events of peers: 1100 to 1199.
+const (
+	PeerUp       ID = 1100
+	PeerDown     ID = 1101
+	PeerBadFrame ID = 1102
+)
+
+// Events of replica groups: 1200 to 1299.
+const (
+	GroupWhole   ID = 1200
+	GroupBroken  ID = 1201
+	GroupFormed  ID = 1202
+	GroupMended  ID = 1203
+	GroupGivenUp ID = 1204
+	LeaseTaken   ID = 1205
+	LeaseLost    ID = 1206
+)
+
+// Events of requests: 1300 to 1399.
+const (
+	RequestRefused ID = 1300
+	AttemptFailed  ID = 1301
+	ClaimUnsettled ID = 1302
+	TargetCold     ID = 1303
+)
+
+// Events of the process: 1400 to 1499.
+const (
+	NodeStarted ID = 1400
+	NodeReady   ID = 1401
+	NodeDrain   ID = 1402
+	NodeStopped ID = 1403
+	StoreDown   ID = 1404
+	StoreUp     ID = 1405
+)
+
+// Level is the severity of an event.
+type Level int
+
+// Levels.
+const (
+	Info Level = iota
+	Warn
+	Error
+)
+
+// Entry describes an event.
+type Entry struct {
+	ID      ID
+	Level   Level
+	Message string
+}
+
+// Catalogue lists all events in order.
+var Catalogue = []Entry{
+	{ConfigLoaded, Info, "configuration loaded"},
+	{ConfigStale, Warn, "configuration not fresh, no new work is sent"},
+	{ConfigFresh, Info, "configuration fresh again"},
+	{ConfigCommitted, Info, "configuration committed"},
+	{ConfigAccepted, Info, "configuration in force everywhere"},
+	{ConfigConflict, Warn, "configuration change lost a race"},
+	{PeerUp, Info, "link to peer up"},
+	{PeerDown, Warn, "link to peer down"},
+	{PeerBadFrame, Warn, "malformed frame from peer, link closed"},
+	{GroupWhole, Info, "replica group whole"},
+	{GroupBroken, Warn, "replica group not whole"},
+	{GroupFormed, Info, "replica group formed"},
+	{GroupMended, Info, "replica group member replaced"},
+	{GroupGivenUp, Warn, "replica group given up"},
+	{LeaseTaken, Info, "placement lease taken"},
+	{LeaseLost, Warn, "placement lease lost"},
+	{RequestRefused, Info, "request refused"},
+	{AttemptFailed, Warn, "attempt failed"},
+	{ClaimUnsettled, Error, "outcome of a request that may not be repeated is unknown"},
+	{TargetCold, Warn, "target turned cold"},
+	{NodeStarted, Info, "node started"},
+	{NodeReady, Info, "node ready"},
+	{NodeDrain, Info, "graceful shutdown begun"},
+	{NodeStopped, Info, "node stopped"},
+	{StoreDown, Warn, "platform store does not answer"},
+	{StoreUp, Info, "platform store answers again"},
+}
+
+// Find returns the entry of an event.
+func Find(id ID) (Entry, bool) {
+	for _, e := range Catalogue {
+		if e.ID == id {
+			return e, true
+		}
+	}
+	return Entry{}, false
+}
--- /dev/null
+++ b/pkg/platform/platform.go
@@ -0,0 +1,48 @@
+// Package platform reaches the services that the platform gives: the table
+// service, the object store and the list of hosts.
+package platform
+
+import (
+	"context"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+)
+
+// Result is the answer of a table transaction.
+type Result struct {
+	Result state.StoreResult
+	// Rows are the present rows of the condition keys after a conflict, and
+	// the written rows after success.
+	Rows []state.StoreRow
+}
+
+// Tables is the platform's transactional table service. An error that wraps
+// ErrUnavailable means that the call had no effect; any other error leaves its
+// effect unknown.
+type Tables interface {
+	// Transact writes all rows or none.
+	Transact(ctx context.Context, tx state.Transaction) (Result, error)
+	// Read returns the rows that exist among keys.
+	Read(ctx context.Context, keys []string) ([]state.StoreRow, error)
+	// Scan returns the rows whose keys start with prefix, in key order.
+	Scan(ctx context.Context, prefix string) ([]state.StoreRow, error)
+}
+
+// Objects is the platform's object store.
+type Objects interface {
+	Put(ctx context.Context, key string, value []byte) error
+	// Get returns nil without an error for an absent object.
+	Get(ctx context.Context, key string) ([]byte, error)
+}
+
+// Hosts is the platform's list of hosts, which lags.
+type Hosts interface {
+	List(ctx context.Context) ([]state.ListedHost, error)
+}
+
+// Platform is everything that the platform gives to a node.
+type Platform interface {
+	Tables
+	Objects
+	Hosts
+}
--- /dev/null
+++ b/pkg/standin/demo.go
@@ -0,0 +1,50 @@
+package standin
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	"github.com/apricotgrade/apricotgrade/pkg/platform"
+)
+
+// DemoDocument returns the declarations of the development mode: groups of two
+// members each over two data centres and an order service.
+func DemoDocument(groups int, service string) state.Document {
+	sum := sha256.Sum256([]byte("dev"))
+	doc := state.Document{
+		Accounts:    []state.AccountSpec{{Name: "dev", KeyHash: hex.EncodeToString(sum[:]), Weight: 1}},
+		DataCentres: []state.DataCentreSpec{{Name: "north"}, {Name: "coast"}},
+		Models:      []state.ModelSpec{{Name: "draft", Versions: []string{"1"}, WeightBytes: 1 << 20}},
+		Services: []state.ServiceSpec{{
+			Name: "orders", Replicas: []state.ServiceReplica{{Name: "a", Address: service, DataCentre: "north"}},
+			Once: []state.ServiceRoute{{Method: "POST", Path: "/orders"}}, Lookup: "/orders/{key}",
+			ColdLimit: 16, WarmLimit: 64,
+		}},
+		Presets: []state.PresetSpec{{Name: "ordinary"}, {Name: "peak"}, {Name: "maintenance"}},
+	}
+	for i := range groups {
+		doc.Groups = append(doc.Groups, state.GroupSpec{
+			Name: state.GroupID(fmt.Sprintf("g%d", i+1)), Model: "draft", Version: "1", Members: 2,
+			DataCentre: doc.DataCentres[i%2].Name, ColdLimit: 4, WarmLimit: 64,
+		})
+	}
+	return doc
+}
+
+// Seed writes a first configuration.
+func Seed(ctx context.Context, tables platform.Tables, doc state.Document) error {
+	head := state.Head{Version: 1, Op: "seed", Preset: "ordinary", DocumentVersion: 1}
+	_, err := tables.Transact(ctx, state.Transaction{
+		Conditions: []state.Condition{{Key: state.KeyHead}},
+		Writes: []state.Write{
+			{Key: state.KeyHead, Value: state.Encode(head)},
+			{Key: state.KeyDocument(1), Value: state.Encode(doc)},
+		},
+	})
+	return errors.Wrap(err, "seed configuration")
+}
--- /dev/null
+++ b/pkg/standin/platform.go
@@ -0,0 +1,61 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	"github.com/apricotgrade/apricotgrade/pkg/platform"
+)
+
+// PlatformHandler serves the platform's services over HTTP from a store.
+func PlatformHandler(store platform.Platform) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /tables/transact", func(w http.ResponseWriter, r *http.Request) {
+		var tx state.Transaction
+		if err := json.NewDecoder(r.Body).Decode(&tx); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		res, err := store.Transact(r.Context(), tx)
+		answer(w, res, err)
+	})
+	mux.HandleFunc("GET /tables/rows", func(w http.ResponseWriter, r *http.Request) {
+		rows, err := store.Read(r.Context(), r.URL.Query()["key"])
+		answer(w, rows, err)
+	})
+	mux.HandleFunc("GET /tables/scan", func(w http.ResponseWriter, r *http.Request) {
+		rows, err := store.Scan(r.Context(), r.URL.Query().Get("prefix"))
+		answer(w, rows, err)
+	})
+	mux.HandleFunc("PUT /objects/{key}", func(w http.ResponseWriter, r *http.Request) {
+		var value []byte
+		if err := json.NewDecoder(r.Body).Decode(&value); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		answer(w, nil, store.Put(r.Context(), r.PathValue("key"), value))
+	})
+	mux.HandleFunc("GET /objects/{key}", func(w http.ResponseWriter, r *http.Request) {
+		value, err := store.Get(r.Context(), r.PathValue("key"))
+		answer(w, value, err)
+	})
+	mux.HandleFunc("GET /hosts", func(w http.ResponseWriter, r *http.Request) {
+		hosts, err := store.List(r.Context())
+		answer(w, hosts, err)
+	})
+	return mux
+}
+
+func answer(w http.ResponseWriter, v any, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(w, v)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
