--- a/pkg/core/state/input.go
+++ b/pkg/core/state/input.go
@@ -203,6 +203,8 @@
 	ActionPreset
 	ActionOut
 	ActionIn
+	// ActionForget states that a node is gone for good.
+	ActionForget
 )
 
 // OperatorCommand is a change that an operator asks for.
@@ -221,6 +223,8 @@
 	// DataCentre or Target is set for ActionOut and ActionIn.
 	DataCentre DataCentre
 	Target     TargetID
+	// Node is set for ActionForget.
+	Node NodeID
 }
 
 // Shutdown asks for a graceful shutdown.
--- a/pkg/core/state/row.go
+++ b/pkg/core/state/row.go
@@ -48,6 +48,9 @@
 	Version   Version
 	VersionAt time.Duration
 	Leaving   bool
+	// Loads and Usage are the peer's own counts of requests in flight, sorted.
+	Loads []TargetCount
+	Usage []AccountValue
 }
 
 // Host is a host of the platform. Listed fields are written by the membership
@@ -119,6 +122,9 @@
 	Incarnations []Incarnation
 	// Straggler is set when a member is much slower than the others.
 	Straggler bool
+	// Dead lists the members that all live watchers of the group have found
+	// dead for the repair delay. It is empty while evidence is missing.
+	Dead []HostID
 }
 
 // GroupPhase is the phase of a replica group.
