Drive the decision core in virtual time with faults

Scenario scripts and random fault schedules run several cores in one process with small fakes and compare what happens with the invariants I1 to I10.

--- /dev/null
+++ b/pkg/scenario/metrics.go
@@ -0,0 +1,72 @@
+package scenario
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+)
+
+const measurePeriod = 50 * time.Millisecond
+
+// Metrics counts what happened in a world.
+type Metrics struct {
+	Attempts int
+	Answered int
+	// Refused counts refusals by code.
+	Refused map[string]int
+	// Overloads counts starts on engines beyond what they bear.
+	Overloads int
+	// Downtime is the sum over declared groups of the time in which they were
+	// not whole; Stranded is the sum over healthy hosts of the time in which
+	// they were in no whole group.
+	Downtime time.Duration
+	Stranded time.Duration
+	// PeerMessages and PeerBytes count messages between nodes.
+	PeerMessages int
+	PeerBytes    int
+	// Latencies are those of whole answers.
+	Latencies []time.Duration
+}
+
+func (m *Metrics) countMessage(msg state.Message) {
+	m.PeerMessages++
+	if b, err := cbor.Marshal(msg); err == nil {
+		m.PeerBytes += len(b)
+	}
+}
+
+func (m *Metrics) ended(r *Request) {
+	if r.Refusal != nil {
+		if m.Refused == nil {
+			m.Refused = map[string]int{}
+		}
+		m.Refused[r.Refusal.Code]++
+		return
+	}
+	m.Answered++
+	m.Latencies = append(m.Latencies, r.EndedAt-r.SentAt)
+}
+
+// measure samples the groups and hosts.
+func (w *World) measure() {
+	w.Checks.observe()
+	serving := map[state.HostID]bool{}
+	whole := 0
+	for id, row := range w.Checks.groups {
+		if _, broken := w.Checks.broken[id]; broken {
+			continue
+		}
+		whole++
+		for _, m := range row.Members {
+			serving[m] = true
+		}
+	}
+	w.Metrics.Downtime += time.Duration(w.Options.Groups-whole) * measurePeriod
+	for _, e := range w.Engines {
+		if e.Alive && !e.Paused && !serving[e.Host.ID] {
+			w.Metrics.Stranded += measurePeriod
+		}
+	}
+}
--- /dev/null
+++ b/pkg/scenario/random_test.go
@@ -0,0 +1,221 @@
+package scenario_test
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	"github.com/apricotgrade/apricotgrade/pkg/scenario"
+)
+
+const (
+	// defaultSchedules is the number of schedules of one run in CI.
+	defaultSchedules = 2000
+	// firstSeed is the seed of the first schedule; each next one adds one.
+	firstSeed   = 20261204
+	shards      = 10
+	faultWindow = 30 * time.Second
+	// recovery is how long a system gets to be whole again after all faults
+	// have ended: give-up time of a group plus two leases and a load.
+	recovery = 90 * time.Second
+)
+
+// step is one command of a schedule at a time after the start of the faults.
+type step struct {
+	at   time.Duration
+	args []string
+}
+
+// schedule is a random list of faults, changes and orders.
+type schedule struct{ steps []step }
+
+func (s schedule) String() string {
+	var b strings.Builder
+	for _, st := range s.steps {
+		fmt.Fprintf(&b, "at %v %s\n", st.at, strings.Join(st.args, " "))
+	}
+	return b.String()
+}
+
+var (
+	nodes   = []string{"n1", "n2", "n3", "n4", "n5", "n6"}
+	hosts   = []string{"h1", "h2", "h3", "h4", "h5", "h6", "h7", "h8", "h9", "h10", "h11", "h12", "h13", "h14", "h15"}
+	centres = []string{"north", "coast", "inland"}
+	targets = []string{"g1", "g2", "g3", "g4", "g5", "g6"}
+	keys    = []string{"k1", "k2", "k3", "k4"}
+)
+
+// kinds are the commands of which schedules are made. A word in angle brackets
+// is drawn from the list of that name.
+var kinds = []string{
+	"kill host <host>", "restart host <host>", "pause host <host>", "resume host <host>", "cold host <host>",
+	"kill node <node>", "restart node <node>", "pause node <node>", "resume node <node>", "shutdown node <node>",
+	"domain kill <centre>-0", "domain restart <centre>-0", "isolate <centre>",
+	"cut <node> <node>", "cut <node> table", "cut <node> <host>", "cut-one-way <node> <node>",
+	"cut-one-way table <node>", "cut-one-way <node> table", "heal", "silence <node>",
+	"platform down", "platform silent", "platform slow 800ms", "platform lose 50", "platform up", "platform up",
+	"service all resets", "service all silent", "service all good",
+	"out <node> data_centre <centre>", "in <node> data_centre <centre>",
+	"out <node> target <target>", "in <node> target <target>", "preset <node> peak", "preset <node> maintenance",
+	"order <node> a1 <key>", "order <node> a1 <key>", "order <node> a2 <key>",
+}
+
+var words = map[string][]string{
+	"<node>": nodes, "<host>": hosts, "<centre>": centres, "<target>": targets, "<key>": keys,
+}
+
+var stepGen = rapid.Custom(func(t *rapid.T) step {
+	at := time.Duration(rapid.IntRange(0, int(faultWindow/time.Millisecond)).Draw(t, "at")) * time.Millisecond
+	args := strings.Fields(rapid.SampledFrom(kinds).Draw(t, "kind"))
+	for i, arg := range args {
+		for name, list := range words {
+			if strings.Contains(arg, name) {
+				arg = strings.Replace(arg, name, rapid.SampledFrom(list).Draw(t, name), 1)
+			}
+		}
+		args[i] = arg
+	}
+	return step{at, args}
+})
+
+var scheduleGen = rapid.Custom(func(t *rapid.T) schedule {
+	return schedule{rapid.SliceOfN(stepGen, 3, 16).Draw(t, "steps")}
+})
+
+// play runs a schedule and returns the breaches, with the trace.
+func play(s schedule, seed uint64) (breaches []string, trace []string) {
+	opts := scenario.DefaultOptions()
+	opts.Seed, opts.Unfenced = seed, seed%2 == 0
+	w := scenario.New(opts)
+	w.RunUntil(time.Minute, w.Settled)
+	w.Load(10, faultWindow+10*time.Second, nil)
+	for _, st := range s.steps {
+		w.After(st.at, func() { perform(w, st.args) })
+	}
+	w.Run(faultWindow)
+	healAll(w)
+	if !w.RunUntil(recovery, w.Settled) {
+		w.Checks.Breaches = append(w.Checks.Breaches,
+			fmt.Sprintf("recovery: %d of %d groups whole %v after all faults ended", w.WholeGroups(), opts.Groups, recovery))
+	}
+	w.Run(40 * time.Second)
+	for _, r := range w.Requests() {
+		if !r.Ended && !r.Lost && w.Now-r.SentAt > 45*time.Second {
+			w.Checks.Breaches = append(w.Checks.Breaches, fmt.Sprintf("ending: request %s has no final answer", r.Arrival.ID))
+		}
+	}
+	return w.Checks.Breaches, w.Trace
+}
+
+func perform(w *scenario.World, args []string) {
+	switch args[0] {
+	case "order":
+		w.Order(w.Node(state.NodeID(args[1])), state.AccountID(args[2]), args[3], "body")
+	case "out", "in", "preset":
+		change(w, args)
+	default:
+		if err := w.Act(args); err != nil {
+			panic(err)
+		}
+	}
+}
+
+func change(w *scenario.World, args []string) {
+	n := w.Node(state.NodeID(args[1]))
+	if !n.Alive || n.Paused {
+		return
+	}
+	cmd := state.OperatorCommand{Action: state.ActionOut}
+	switch {
+	case args[0] == "preset":
+		cmd.Action, cmd.Preset = state.ActionPreset, args[2]
+	case args[2] == "target":
+		cmd.Target = state.TargetID(args[3])
+	default:
+		cmd.DataCentre = state.DataCentre(args[3])
+	}
+	if args[0] == "in" {
+		cmd.Action = state.ActionIn
+	}
+	n.Operate(cmd, nil)
+}
+
+// healAll ends all faults.
+func healAll(w *scenario.World) {
+	w.Network.Heal()
+	perform(w, []string{"platform", "up"})
+	perform(w, []string{"service", "all", "good"})
+	for _, n := range w.Nodes {
+		if n.Paused {
+			n.Resume()
+		}
+		if !n.Alive || n.Draining {
+			n.Start()
+		}
+	}
+	for _, e := range w.Engines {
+		if e.Paused {
+			e.Resume()
+		}
+		if !e.Alive {
+			e.Restart()
+		}
+	}
+}
+
+// shrink drops steps that a failure does not need.
+func shrink(s schedule, seed uint64) schedule {
+	for i := len(s.steps) - 1; i >= 0; i-- {
+		less := schedule{append(append([]step{}, s.steps[:i]...), s.steps[i+1:]...)}
+		if breaches, _ := play(less, seed); len(breaches) > 0 {
+			s = less
+		}
+	}
+	return s
+}
+
+// TestRandomSchedules guards the invariants I1 to I10 and the recovery after
+// all faults against combinations of faults that no scenario names. The
+// environment variables SCHEDULES and SEED set the number of schedules and the
+// first seed; each schedule depends on its seed alone.
+func TestRandomSchedules(t *testing.T) {
+	count, first := number("SCHEDULES", defaultSchedules), number("SEED", firstSeed)
+	t.Logf("%d schedules from seed %d", count, first)
+	for shard := range shards {
+		t.Run(strconv.Itoa(shard), func(t *testing.T) {
+			t.Parallel()
+			for i := shard; i < count; i += shards {
+				check(t, first+i)
+			}
+		})
+	}
+}
+
+func check(t *testing.T, seed int) {
+	t.Helper()
+	s := scheduleGen.Example(seed)
+	breaches, _ := play(s, uint64(seed))
+	if len(breaches) == 0 {
+		return
+	}
+	s = shrink(s, uint64(seed))
+	breaches, trace := play(s, uint64(seed))
+	if dir := os.Getenv("TRACES"); dir != "" {
+		_ = os.WriteFile(fmt.Sprintf("%s/%d.txt", dir, seed), []byte(strings.Join(trace, "\n")), 0o600)
+	}
+	t.Errorf("seed %d breaches %v with\n%v", seed, breaches[:min(3, len(breaches))], s)
+}
+
+func number(name string, fallback int) int {
+	n, err := strconv.Atoi(os.Getenv(name))
+	if err != nil {
+		return fallback
+	}
+	return n
+}
--- /dev/null
+++ b/pkg/scenario/script.go
@@ -0,0 +1,465 @@
+package scenario
+
+import (
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/apricotgrade/apricotgrade/pkg/apierror"
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+)
+
+// Script runs one scenario of the scenario language.
+type Script struct {
+	World *World
+	// SwitchedOff reruns a script with the mechanism of its proves command
+	// switched off. Its expectations are then ignored, and the breach that the
+	// mechanism prevents must occur.
+	SwitchedOff bool
+
+	invariant string
+	mechanism string
+	requests  map[string]*Request
+	replies   map[string]*state.OperatorReply
+}
+
+// Commands returns the scenario language for testscript. The script value of
+// each run is a *Script under the key "script".
+func Commands() map[string]func(*testscript.TestScript, bool, []string) {
+	cmds := map[string]func(*testscript.TestScript, bool, []string){}
+	add := func(name string, f func(*Script, []string) error) {
+		cmds[name] = func(ts *testscript.TestScript, neg bool, args []string) {
+			s := ts.Value("script").(*Script)
+			err := f(s, args)
+			if neg {
+				ts.Fatalf("%s cannot be negated", name)
+			}
+			if err != nil {
+				ts.Fatalf("%v\n%s", err, s.trace())
+			}
+		}
+	}
+	for name := range actions {
+		add(name, func(s *Script, args []string) error { return s.World.Act(append([]string{name}, args...)) })
+	}
+	add("proves", (*Script).proves)
+	add("world", (*Script).build)
+	add("run", (*Script).run)
+	add("at", (*Script).at)
+	add("chat", (*Script).chat)
+	add("order", (*Script).order)
+	add("out", (*Script).out)
+	add("in", (*Script).in)
+	add("preset", (*Script).preset)
+	add("settle", (*Script).settle)
+	add("expect", (*Script).expect)
+	return cmds
+}
+
+// Finish checks the breaches after the last command.
+func (s *Script) Finish() error {
+	if s.World == nil {
+		return errors.New("the script builds no world")
+	}
+	if !s.SwitchedOff {
+		if len(s.World.Checks.Breaches) > 0 {
+			return errors.Errorf("breaches: %v\n%s", s.World.Checks.Breaches, s.trace())
+		}
+		return nil
+	}
+	if s.mechanism != "" && !s.World.Checks.Broken(s.invariant) {
+		return errors.Errorf("with %s set, %s is not breached: the script proves nothing\n%s",
+			s.mechanism, s.invariant, s.trace())
+	}
+	return nil
+}
+
+// Proves reports whether the script names a mechanism.
+func (s *Script) Proves() bool { return s.mechanism != "" }
+
+const traceLines = 120
+
+func (s *Script) trace() string {
+	if s.World == nil {
+		return ""
+	}
+	lines := s.World.Trace
+	if len(lines) > traceLines {
+		lines = lines[len(lines)-traceLines:]
+	}
+	return strings.Join(lines, "\n")
+}
+
+// proves names the invariant and the switch whose mechanism the script shows.
+func (s *Script) proves(args []string) error {
+	if len(args) != 2 {
+		return ErrUsage
+	}
+	s.invariant, s.mechanism = args[0], args[1]
+	return nil
+}
+
+// build makes the world from words such as nodes=6.
+func (s *Script) build(args []string) error {
+	opts := DefaultOptions()
+	for _, arg := range args {
+		if err := setOption(&opts, arg); err != nil {
+			return err
+		}
+	}
+	if s.SwitchedOff && s.mechanism != "" {
+		field := reflect.ValueOf(&opts.Switches).Elem().FieldByName(s.mechanism)
+		if !field.IsValid() {
+			return errors.Errorf("no switch %s", s.mechanism)
+		}
+		field.SetBool(true)
+	}
+	s.World = New(opts)
+	s.requests, s.replies = map[string]*Request{}, map[string]*state.OperatorReply{}
+	return nil
+}
+
+func setOption(opts *Options, arg string) error {
+	name, value, _ := strings.Cut(arg, "=")
+	if name == "load_time" {
+		d, err := time.ParseDuration(value)
+		opts.LoadTime = d
+		return err
+	}
+	n, err := strconv.Atoi(value)
+	if err != nil {
+		return errors.Wrapf(ErrUsage, "world %s", arg)
+	}
+	fields := map[string]*int{
+		"nodes": &opts.Nodes, "data_centres": &opts.DataCentres, "groups": &opts.Groups, "members": &opts.Members,
+		"spares": &opts.Spares, "accounts": &opts.Accounts, "cold": &opts.ColdLimit, "warm": &opts.WarmLimit,
+	}
+	switch field := fields[name]; {
+	case field != nil:
+		*field = n
+	case name == "seed":
+		opts.Seed = uint64(n)
+	case name == "unfenced":
+		opts.Unfenced = n == 1
+	default:
+		return errors.Wrapf(ErrUsage, "world %s", arg)
+	}
+	return nil
+}
+
+func (s *Script) run(args []string) error {
+	if len(args) != 1 {
+		return ErrUsage
+	}
+	d, err := time.ParseDuration(args[0])
+	if err != nil {
+		return err
+	}
+	s.World.Run(d)
+	return nil
+}
+
+// at carries a command out after a delay from now.
+func (s *Script) at(args []string) error {
+	if len(args) < 2 {
+		return ErrUsage
+	}
+	d, err := time.ParseDuration(args[0])
+	if err != nil {
+		return err
+	}
+	s.World.After(d, func() {
+		if err := s.act(args[1:]); err != nil {
+			s.World.Checks.breach("script", "%v", err)
+		}
+	})
+	return nil
+}
+
+func (s *Script) act(args []string) error {
+	own := map[string]func(*Script, []string) error{
+		"chat": (*Script).chat, "order": (*Script).order, "out": (*Script).out, "in": (*Script).in,
+		"preset": (*Script).preset,
+	}
+	if f := own[args[0]]; f != nil {
+		return f(s, args[1:])
+	}
+	return s.World.Act(args)
+}
+
+// chat NAME NODE ACCOUNT
+func (s *Script) chat(args []string) error {
+	if len(args) != 3 {
+		return ErrUsage
+	}
+	s.requests[args[0]] = s.World.Chat(s.World.Node(state.NodeID(args[1])), state.AccountID(args[2]))
+	return nil
+}
+
+// order NAME NODE ACCOUNT KEY BODY
+func (s *Script) order(args []string) error {
+	if len(args) != 5 {
+		return ErrUsage
+	}
+	n := s.World.Node(state.NodeID(args[1]))
+	s.requests[args[0]] = s.World.Order(n, state.AccountID(args[2]), args[3], args[4])
+	return nil
+}
+
+// out NAME NODE (data_centre|target) ID
+func (s *Script) out(args []string) error { return s.change(state.ActionOut, args) }
+
+func (s *Script) in(args []string) error { return s.change(state.ActionIn, args) }
+
+func (s *Script) change(action state.OperatorAction, args []string) error {
+	if len(args) != 4 {
+		return ErrUsage
+	}
+	cmd := state.OperatorCommand{Action: action}
+	switch args[2] {
+	case "data_centre":
+		cmd.DataCentre = state.DataCentre(args[3])
+	case "target":
+		cmd.Target = state.TargetID(args[3])
+	default:
+		return ErrUsage
+	}
+	return s.operate(args[0], args[1], cmd)
+}
+
+// preset NAME NODE PRESET
+func (s *Script) preset(args []string) error {
+	if len(args) != 3 {
+		return ErrUsage
+	}
+	return s.operate(args[0], args[1], state.OperatorCommand{Action: state.ActionPreset, Preset: args[2]})
+}
+
+func (s *Script) operate(name, node string, cmd state.OperatorCommand) error {
+	n := s.World.Node(state.NodeID(node))
+	if n == nil {
+		return ErrUsage
+	}
+	s.replies[name] = nil
+	n.Operate(cmd, func(r state.OperatorReply) { s.replies[name] = &r })
+	return nil
+}
+
+// settle runs until all groups are whole and all nodes ready, or fails.
+func (s *Script) settle(args []string) error {
+	limit := time.Minute
+	if len(args) == 1 {
+		d, err := time.ParseDuration(args[0])
+		if err != nil {
+			return err
+		}
+		limit = d
+	}
+	if s.World.RunUntil(limit, s.World.Settled) || s.SwitchedOff {
+		return nil
+	}
+	return errors.Errorf("not settled after %v", limit)
+}
+
+// Settled reports whether all groups are whole and all live nodes ready.
+func (w *World) Settled() bool {
+	for _, n := range w.Nodes {
+		if n.Alive && !n.Ready {
+			return false
+		}
+	}
+	return w.WholeGroups() == w.Options.Groups
+}
+
+// WholeGroups returns the number of groups that are whole.
+func (w *World) WholeGroups() int {
+	n := 0
+	for id, row := range w.Checks.groups {
+		if w.groupWhole(row, id) {
+			n++
+		}
+	}
+	return n
+}
+
+// expect checks a statement about the world.
+func (s *Script) expect(args []string) error {
+	if s.SwitchedOff {
+		return nil
+	}
+	if len(args) < 2 {
+		return ErrUsage
+	}
+	check, ok := expectations[args[0]]
+	if !ok {
+		return errors.Wrapf(ErrUsage, "expect %v", args)
+	}
+	return check(s, args[1:])
+}
+
+var expectations = map[string]func(*Script, []string) error{
+	"request":    expectRequest,
+	"executions": expectExecutions,
+	"change":     expectChange,
+	"node":       expectNode,
+	"groups":     expectGroups,
+	"group":      expectGroup,
+	"refused":    expectRefused,
+	"answered":   expectAnswered,
+}
+
+// request NAME (whole|open|not_run|unknown|refused CODE)
+func expectRequest(s *Script, args []string) error {
+	first := s.requests[args[0]]
+	if first == nil || len(args) < 2 {
+		return ErrUsage
+	}
+	r := s.World.Final(first)
+	got := "open"
+	switch {
+	case r.Whole:
+		got = "whole"
+	case r.Refusal != nil:
+		got = string(r.Refusal.Outcome)
+	}
+	if args[1] == "refused" && len(args) == 3 && r.Refusal != nil {
+		got, args = r.Refusal.Code, args[1:]
+	}
+	if got != args[1] {
+		return errors.Errorf("request %s is %s, want %s", first.Arrival.ID, got, args[1])
+	}
+	return nil
+}
+
+func expectExecutions(s *Script, args []string) error {
+	if len(args) != 2 {
+		return ErrUsage
+	}
+	if got := strconv.Itoa(s.World.Checks.Executions(args[0])); got != args[1] {
+		return errors.Errorf("%s executed %s times, want %s", args[0], got, args[1])
+	}
+	return nil
+}
+
+// change NAME (accepted|committed|refused|open)
+func expectChange(s *Script, args []string) error {
+	reply := s.replies[args[0]]
+	got := "open"
+	switch {
+	case reply == nil:
+	case reply.Error != nil:
+		got = "refused"
+	case reply.Accepted:
+		got = "accepted"
+	default:
+		got = "committed"
+	}
+	if len(args) != 2 || got != args[1] {
+		return errors.Errorf("change %s is %s, want %v", args[0], got, args[1:])
+	}
+	return nil
+}
+
+// node ID (fresh|stale|ready|unready|gone)
+func expectNode(s *Script, args []string) error {
+	n := s.World.Node(state.NodeID(args[0]))
+	if n == nil || len(args) != 2 {
+		return ErrUsage
+	}
+	got := map[string]bool{
+		"fresh": n.Core.Tables().Config.Fresh, "stale": !n.Core.Tables().Config.Fresh,
+		"ready": n.Ready, "unready": !n.Ready, "gone": !n.Alive,
+	}
+	if !got[args[1]] {
+		return errors.Errorf("node %s is not %s", n.ID, args[1])
+	}
+	return nil
+}
+
+// groups whole N
+func expectGroups(s *Script, args []string) error {
+	if len(args) != 2 || args[0] != "whole" {
+		return ErrUsage
+	}
+	if got := strconv.Itoa(s.World.WholeGroups()); got != args[1] {
+		return errors.Errorf("%s groups are whole, want %s", got, args[1])
+	}
+	return nil
+}
+
+// group ID (has|lacks) HOST
+func expectGroup(s *Script, args []string) error {
+	if len(args) != 3 {
+		return ErrUsage
+	}
+	has := false
+	for _, m := range s.World.Checks.groups[state.GroupID(args[0])].Members {
+		has = has || string(m) == args[2]
+	}
+	if has != (args[1] == "has") {
+		return errors.Errorf("group %s has %v, want %v", args[0], s.World.Checks.groups[state.GroupID(args[0])].Members, args[1:])
+	}
+	return nil
+}
+
+// refused at-most N
+func expectRefused(s *Script, args []string) error {
+	n := 0
+	for _, count := range s.World.Metrics.Refused {
+		n += count
+	}
+	limit, err := strconv.Atoi(args[len(args)-1])
+	if err != nil || args[0] != "at-most" {
+		return ErrUsage
+	}
+	if n > limit {
+		return errors.Errorf("%d refusals %v, want at most %d", n, s.World.Metrics.Refused, limit)
+	}
+	return nil
+}
+
+// answered at-least PERCENT
+func expectAnswered(s *Script, args []string) error {
+	want, err := strconv.ParseFloat(args[len(args)-1], 64)
+	if err != nil || args[0] != "at-least" {
+		return ErrUsage
+	}
+	got := s.World.AnsweredShare()
+	if got < want {
+		return errors.Errorf("%.2f%% of chats answered whole, want %.2f%%; refusals %v", got, want, s.World.Metrics.Refused)
+	}
+	return nil
+}
+
+// AnsweredShare returns how many of the model requests that have ended were
+// answered whole, in percent. A request that a caller had to repeat counts by
+// its last try.
+func (w *World) AnsweredShare() float64 {
+	all, whole := 0, 0
+	continued := map[*Request]bool{}
+	for _, r := range w.order {
+		if r.resumes != nil {
+			continued[r.resumes] = true
+		}
+	}
+	for _, r := range w.order {
+		if r.Arrival.Kind != state.KindModel || continued[r] {
+			continue
+		}
+		all++
+		if r.Whole {
+			whole++
+		}
+	}
+	if all == 0 {
+		return percent
+	}
+	return percent * float64(whole) / float64(all)
+}
+
+// NotRun reports whether a refusal says that its request was not run.
+func (r *Request) NotRun() bool { return r.Refusal != nil && r.Refusal.Outcome == apierror.NotRun }
--- /dev/null
+++ b/pkg/scenario/script_test.go
@@ -0,0 +1,40 @@
+package scenario_test
+
+import (
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/apricotgrade/apricotgrade/pkg/scenario"
+)
+
+// TestScenarios runs every script under test/scenario: first as it stands, and
+// then, where it names a mechanism, with that mechanism switched off, when the
+// invariant must be breached. A script that passes both ways would prove
+// nothing.
+func TestScenarios(t *testing.T) {
+	t.Run("on", func(t *testing.T) { runScripts(t, false) })
+	t.Run("off", func(t *testing.T) { runScripts(t, true) })
+}
+
+func runScripts(t *testing.T, off bool) {
+	t.Helper()
+	testscript.Run(t, testscript.Params{
+		Dir:  "../../test/scenario",
+		Cmds: scenario.Commands(),
+		Setup: func(env *testscript.Env) error {
+			s := &scenario.Script{SwitchedOff: off}
+			env.Values["script"] = s
+			env.Defer(func() {
+				if off && !s.Proves() {
+					return
+				}
+				if err := s.Finish(); err != nil {
+					env.T().Log(err)
+					env.T().FailNow()
+				}
+			})
+			return nil
+		},
+	})
+}
