--- a/pkg/scenario/checks.go
+++ b/pkg/scenario/checks.go
@@ -205,6 +205,7 @@
 	w := c.world
 	w.Log("%s sends %s attempt %d to %s at %s", n.ID, s.Request, s.Attempt, s.Target, s.Address)
 	dc := w.centreOf(s.Address)
+	w.Metrics.sent(dc, w.Now)
 	if at, out := c.outSince[dc]; out && w.Now > at+outBound {
 		c.breach("I4", "node %s sends %s to data centre %s, %v after it was taken out", n.ID, s.Request, dc, w.Now-at)
 	}
--- a/pkg/scenario/metrics.go
+++ b/pkg/scenario/metrics.go
@@ -28,6 +28,15 @@
 	PeerBytes    int
 	// Latencies are those of whole answers.
 	Latencies []time.Duration
+	// LastSent is when new work last left for each data centre.
+	LastSent map[state.DataCentre]time.Duration
+}
+
+func (m *Metrics) sent(dc state.DataCentre, now time.Duration) {
+	if m.LastSent == nil {
+		m.LastSent = map[state.DataCentre]time.Duration{}
+	}
+	m.LastSent[dc] = now
 }
 
 func (m *Metrics) countMessage(msg state.Message) {
