Describe settings by tables and report all errors at once

Settings were mapped to a struct, so an unknown key, a bad range or a missing key went unnoticed until something failed later. One table per program now drives parsing, checking and docs/settings.md, and a file's errors come together with section, key, value and what is allowed. Values are literal: the library's inline comments, interpolation and unquoting would alter keys that hold such characters. Struct tags were ruled out, as they cannot hold ranges and help, and the page would be a second source.

--- /dev/null
+++ b/pkg/inifile/table.go
@@ -0,0 +1,201 @@
+// Package inifile reads INI files that are described by a table of sections and
+// keys. The table drives parsing, checking and the documentation, and all
+// problems of a file are reported at once.
+package inifile
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Kind is the type of a key's value.
+type Kind int
+
+// Kinds of values.
+const (
+	// Text is any text.
+	Text Kind = iota
+	// Name is letters, digits, '.', '_' and '-', starting with a letter or digit.
+	Name
+	// Listen is an IP address and port to listen on; the IP address may be
+	// empty and the port 0.
+	Listen
+	// Address is an IP address and a port.
+	Address
+	// URL is an http or https base URL.
+	URL
+	// Secret is a text that is never printed. It can also be given by the key
+	// with the suffix "_file", which names a file.
+	Secret
+	// Hash is a hex SHA-256.
+	Hash
+	// Duration is a number with a unit, such as 250ms, 3s or 1m30s.
+	Duration
+	// Integer is a whole number.
+	Integer
+	// Boolean is true or false.
+	Boolean
+	// Choice is one of the key's choices.
+	Choice
+	// Names is a list of Name separated by commas.
+	Names
+	// Pairs is a list of name:number separated by commas.
+	Pairs
+	// Labels is a list of name:text separated by commas.
+	Labels
+	// Routes is a list of "METHOD /path" separated by commas.
+	Routes
+	// Path is an absolute URL path.
+	Path
+)
+
+var kindNames = map[Kind]string{
+	Text: "text", Name: "name", Listen: "IP address and port", Address: "IP address and port",
+	URL: "URL", Secret: "secret", Hash: "hex SHA-256", Duration: "duration", Integer: "integer",
+	Boolean: "boolean", Choice: "choice", Names: "list of names", Pairs: "list of name:number",
+	Labels: "list of name:text", Routes: "list of METHOD /path", Path: "path",
+}
+
+// fileSuffix is appended to the name of a secret to give it by a file.
+const fileSuffix = "_file"
+
+// Key describes one key of a section.
+type Key struct {
+	Name string
+	Kind Kind
+	// Unit is the unit of a number, such as "requests".
+	Unit string
+	// Default is the value of an absent key, in the syntax of the file.
+	Default string
+	// DefaultNote replaces Default in the documentation.
+	DefaultNote string
+	// Required is whether an absent key is a problem.
+	Required bool
+	// Min and Max bound an Integer, the numbers of Pairs, or a Duration in
+	// nanoseconds. Both are inclusive. They apply when Max is not 0.
+	Min, Max int64
+	Choices  []string
+	Help     string
+}
+
+// Section describes a section.
+type Section struct {
+	Name string
+	// Named sections have the form [section NAME] and may occur several times.
+	Named bool
+	// Title describes the name of a named section, such as NAME.
+	Title string
+	// Required is whether at least one such section must be present.
+	Required bool
+	Help     string
+	Keys     []Key
+}
+
+// Table describes a file.
+type Table struct {
+	// Title is what the file configures.
+	Title    string
+	Help     string
+	Sections []Section
+}
+
+func (t Table) section(name string) (Section, bool) {
+	for _, s := range t.Sections {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Section{}, false
+}
+
+func (s Section) key(name string) (Key, bool) {
+	for _, k := range s.Keys {
+		if k.Name == name {
+			return k, true
+		}
+	}
+	return Key{}, false
+}
+
+// header returns the section's header as it is documented.
+func (s Section) header() string {
+	if !s.Named {
+		return s.Name
+	}
+	title := s.Title
+	if title == "" {
+		title = "NAME"
+	}
+	return s.Name + " " + title
+}
+
+// Allowed says in words which values the key takes.
+func (k Key) Allowed() string {
+	switch k.Kind {
+	case Name:
+		return "letters, digits, '.', '_' and '-', starting with a letter or digit"
+	case Listen:
+		return "IP:port, such as 127.0.0.1:8080; :8080 listens on all addresses and port 0 takes a free one"
+	case Address:
+		return "IP:port, such as 127.0.0.1:8080"
+	case URL:
+		return "an http or https URL, such as http://127.0.0.1:7000"
+	case Hash:
+		return "64 hexadecimal digits, the SHA-256 of the key (apricotgrade hash prints it)"
+	case Duration:
+		return "a duration such as 250ms or 3s" + k.bounds()
+	case Integer:
+		return "a whole number" + k.bounds()
+	case Boolean:
+		return "true or false"
+	case Choice:
+		return "one of " + strings.Join(k.Choices, ", ")
+	case Names:
+		return "names separated by commas"
+	case Pairs:
+		return "name:number separated by commas, such as a:2, b:1; each number" + k.bounds()
+	case Labels:
+		return "name:text separated by commas"
+	case Routes:
+		return "method and path separated by commas, such as POST /orders, POST /deposits"
+	case Path:
+		return "a path that starts with /"
+	case Secret:
+		return "a text of at least 1 character, or a file by " + k.Name + fileSuffix
+	case Text:
+	}
+	return "a text of at least 1 character"
+}
+
+func (k Key) bounds() string {
+	r := k.Range()
+	if r == "" {
+		return ""
+	}
+	return " from " + r
+}
+
+// Range returns the bounds of a number, or an empty string.
+func (k Key) Range() string {
+	if k.Max == 0 {
+		return ""
+	}
+	if k.Kind == Duration {
+		return fmt.Sprintf("%s to %s", short(k.Min), short(k.Max))
+	}
+	return strconv.FormatInt(k.Min, 10) + " to " + strconv.FormatInt(k.Max, 10)
+}
+
+// short formats a duration without trailing zero units.
+func short(ns int64) string {
+	s := time.Duration(ns).String()
+	if strings.HasSuffix(s, "m0s") {
+		s = strings.TrimSuffix(s, "0s")
+	}
+	if strings.HasSuffix(s, "h0m") {
+		s = strings.TrimSuffix(s, "0m")
+	}
+	return s
+}
--- /dev/null
+++ b/pkg/settings/settings_test.go
@@ -0,0 +1,145 @@
+package settings_test
+
+import (
+	"errors"
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/apricotgrade/apricotgrade/pkg/inifile"
+	"github.com/apricotgrade/apricotgrade/pkg/settings"
+)
+
+var update = flag.Bool("update", false, "rewrite docs/settings.md")
+
+const good = `
+[node]
+id = n1
+data_centre = north
+peer_key_file = peer.key
+platform = http://127.0.0.1:7000
+drain_notice = 1m30s
+
+[operator ann]
+key = a#key;with%(odd)s "signs"
+`
+
+func write(t *testing.T, content string) string {
+	t.Helper()
+	dir := t.TempDir()
+	for name, text := range map[string]string{"node.ini": content, "peer.key": "secret\n"} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return filepath.Join(dir, "node.ini")
+}
+
+// TestLoadNode guards against keys that are read into the wrong field, lost
+// defaults and values that the INI library alters.
+func TestLoadNode(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n, err := settings.LoadNode(write(t, good))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(n).To(gomega.Equal(settings.Node{
+		ID: "n1", DataCentre: "north", Listen: "127.0.0.1:8080", Admin: "127.0.0.1:8090",
+		Peer: "127.0.0.1:8070", PeerAddress: "127.0.0.1:8070", PeerKey: "secret",
+		Platform: "http://127.0.0.1:7000", Drain: 90 * time.Second,
+		Operators: []settings.Operator{{Name: "ann", Key: `a#key;with%(odd)s "signs"`}},
+	}))
+}
+
+// TestAllProblemsAtOnce guards against a checker that stops at the first fault,
+// accepts unknown keys or prints a secret.
+func TestAllProblemsAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, err := settings.LoadNode(write(t, `
+stray = 1
+[node]
+id = n 1
+id = n2
+listen = localhost:80
+colour = blue
+peer_key_file = missing.key
+peer_key = again
+drain_notice = 3
+log_level = loud
+platform = ftp://x
+[operator]
+key = k
+[operator ann]
+key = hush
+key_file = peer.key
+[operator ann]
+key = hush
+[cache]
+`))
+	var problems inifile.Problems
+	g.Expect(errors.As(err, &problems)).To(gomega.BeTrue())
+	seen := []string{}
+	for _, p := range problems {
+		g.Expect(p.Allowed).NotTo(gomega.BeEmpty())
+		seen = append(seen, strings.TrimSpace(p.Section+"/"+p.Key+": "+p.Message))
+	}
+	g.Expect(err.Error()).NotTo(gomega.ContainSubstring("hush"))
+	g.Expect(strings.Join(seen, "\n")).To(gomega.And(
+		gomega.ContainSubstring("/stray: stands before the first section"),
+		gomega.ContainSubstring("node/id: key is given twice"),
+		gomega.ContainSubstring("node/listen: value is not allowed"),
+		gomega.ContainSubstring("node/colour: unknown key"),
+		gomega.ContainSubstring("node/peer_key_file: file cannot be read"),
+		gomega.ContainSubstring("node/peer_key: key is given twice"),
+		gomega.ContainSubstring("node/drain_notice: value is not allowed"),
+		gomega.ContainSubstring("node/log_level: value is not allowed"),
+		gomega.ContainSubstring("node/platform: value is not allowed"),
+		gomega.ContainSubstring("node/data_centre: key is missing"),
+		gomega.ContainSubstring("operator/: section needs a name"),
+		gomega.ContainSubstring("operator ann/key_file: key is given twice"),
+		gomega.ContainSubstring("operator ann/: section is given twice"),
+		gomega.ContainSubstring("cache/: unknown section"),
+	))
+	g.Expect(problems).To(gomega.HaveLen(14))
+}
+
+// TestSharedOperatorKey guards against two operators that the audit trail
+// cannot tell apart.
+func TestSharedOperatorKey(t *testing.T) {
+	_, err := settings.LoadNode(write(t, good+"[operator bob]\nkey = a#key;with%(odd)s \"signs\"\n"))
+	gomega.NewWithT(t).Expect(err).To(gomega.MatchError(gomega.ContainSubstring("same key as operator ann")))
+}
+
+// TestStandins guards against a stand-in table that does not match its reader.
+func TestStandins(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p, err := settings.LoadPlatform(write(t, "[platform]\nlisten = 127.0.0.1:0\ndeclaration = d.ini\n[host h1]\naddress = 127.0.0.1:9\ndata_centre = a\ndomain = a1\n"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(p.Hosts).To(gomega.Equal([]settings.Host{{ID: "h1", Address: "127.0.0.1:9", DataCentre: "a", Domain: "a1"}}))
+	g.Expect(filepath.IsAbs(p.Declaration)).To(gomega.BeTrue())
+	e, err := settings.LoadEngine(write(t, "[engine]\nlisten = :0\n"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(e).To(gomega.Equal(settings.Engine{Listen: ":0", LoadTime: 100 * time.Millisecond, TokenTime: 2 * time.Millisecond, Tokens: 16}))
+	_, err = settings.LoadService(write(t, "[service]\n"))
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("[service] listen: key is missing")))
+}
+
+// TestDocumentation guards against a page that differs from the tables.
+func TestDocumentation(t *testing.T) {
+	path := filepath.Join("..", "..", "docs", "settings.md")
+	if *update {
+		if err := os.WriteFile(path, []byte(settings.Markdown()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	page, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(page) != settings.Markdown() {
+		t.Error("docs/settings.md differs from the tables; run go test ./pkg/settings -update")
+	}
+}
--- /dev/null
+++ b/pkg/settings/tables.go
@@ -0,0 +1,113 @@
+package settings
+
+import (
+	"strings"
+	"time"
+
+	"github.com/apricotgrade/apricotgrade/pkg/inifile"
+)
+
+// NodeTable describes the settings of the entry daemon.
+var NodeTable = inifile.Table{
+	Title: "Entry daemon",
+	Help:  "Read by `apricotgraded -settings FILE`. The format is the same on every entry host.",
+	Sections: []inifile.Section{
+		{
+			Name: "node", Required: true, Help: "The entry daemon itself.",
+			Keys: []inifile.Key{
+				{Name: "id", Kind: inifile.Name, Required: true, Help: "Name of this node, different on every entry host. It is the node's key in the registry of the configuration."},
+				{Name: "data_centre", Kind: inifile.Name, Required: true, Help: "Data centre of this entry host, as declared."},
+				{Name: "listen", Kind: inifile.Listen, Default: "127.0.0.1:8080", Help: "Listener for callers."},
+				{Name: "admin_listen", Kind: inifile.Listen, Default: "127.0.0.1:8090", Help: "Listener for operators, health checks and metrics."},
+				{Name: "peer_listen", Kind: inifile.Listen, Default: "127.0.0.1:8070", Help: "Listener for other entry daemons."},
+				{Name: "peer_address", Kind: inifile.Address, DefaultNote: "`peer_listen`", Help: "Address at which other entry daemons reach `peer_listen`. It is published in the registry of the configuration."},
+				{Name: "peer_key", Kind: inifile.Secret, Required: true, Help: "Key that all entry daemons share and prove to each other."},
+				{Name: "platform", Kind: inifile.URL, Required: true, Help: "Base URL of the platform's table service, object store and host list."},
+				{
+					Name: "drain_notice", Kind: inifile.Duration, Default: "3s", Min: 0, Max: int64(10 * time.Minute),
+					Help: "Time for which a node that shuts down still accepts requests after `/readyz` has turned to 503. It must exceed the period of the load balancer's health checks.",
+				},
+				{Name: "log_level", Kind: inifile.Choice, Default: "info", Choices: []string{"debug", "info", "warn", "error"}, Help: "Lowest level of log lines."},
+			},
+		},
+		{
+			Name: "operator", Named: true, Required: true,
+			Help: "One operator. The name appears in the audit trail.",
+			Keys: []inifile.Key{
+				{Name: "key", Kind: inifile.Secret, Required: true, Help: "Key of this operator, sent as `Authorization: Bearer`."},
+			},
+		},
+	},
+}
+
+// PlatformTable describes the settings of the platform stand-in.
+var PlatformTable = inifile.Table{
+	Title: "Platform stand-in",
+	Help:  "Read by `apricotgrade-standin platform -settings FILE`. For tests only: it keeps everything in memory.",
+	Sections: []inifile.Section{
+		{
+			Name: "platform", Required: true, Help: "The stand-in itself.",
+			Keys: []inifile.Key{
+				{Name: "listen", Kind: inifile.Listen, Required: true, Help: "Listener of the platform's services."},
+				{Name: "declaration", Kind: inifile.Text, Help: "File with the declarations of the first configuration, relative to this file. Without it the table service starts empty."},
+				{Name: "preset", Kind: inifile.Name, Default: "ordinary", Help: "Preset of the first configuration."},
+			},
+		},
+		{
+			Name: "host", Named: true, Title: "ID", Help: "One host of the platform's list of hosts.",
+			Keys: []inifile.Key{
+				{Name: "address", Kind: inifile.Address, Required: true, Help: "Address of the engine on this host."},
+				{Name: "data_centre", Kind: inifile.Name, Required: true, Help: "Data centre of the host."},
+				{Name: "domain", Kind: inifile.Name, Required: true, Help: "Fabric domain of the host."},
+			},
+		},
+	},
+}
+
+// EngineTable describes the settings of an engine stand-in.
+var EngineTable = inifile.Table{
+	Title: "Engine stand-in",
+	Help:  "Read by `apricotgrade-standin engine -settings FILE`. It stands for the model engine on one host.",
+	Sections: []inifile.Section{{
+		Name: "engine", Required: true, Help: "The stand-in itself.",
+		Keys: []inifile.Key{
+			{Name: "listen", Kind: inifile.Listen, Required: true, Help: "Listener of the engine."},
+			{Name: "load_time", Kind: inifile.Duration, Default: "100ms", Max: int64(time.Hour), Help: "Time that a load order takes."},
+			{Name: "token_time", Kind: inifile.Duration, Default: "2ms", Max: int64(time.Minute), Help: "Time between two tokens of a stream."},
+			{Name: "tokens", Kind: inifile.Integer, Unit: "tokens", Default: "16", Min: 1, Max: 1 << 20, Help: "Length of each answer."},
+		},
+	}},
+}
+
+// ServiceTable describes the settings of a service stand-in.
+var ServiceTable = inifile.Table{
+	Title: "Service stand-in",
+	Help:  "Read by `apricotgrade-standin service -settings FILE`. It stands for one replica of an order service and counts executions by key.",
+	Sections: []inifile.Section{{
+		Name: "service", Required: true, Help: "The stand-in itself.",
+		Keys: []inifile.Key{
+			{Name: "listen", Kind: inifile.Listen, Required: true, Help: "Listener of the service."},
+		},
+	}},
+}
+
+const intro = `# Settings
+
+Settings are INI files. This page is generated from the tables in ` + "`pkg/settings`" + `; a test compares the two. To update it:
+
+    go test ./pkg/settings -update
+
+An unknown section or key, a key or section given twice, a missing required key and a value outside its range are errors. All errors of a file are reported at once, each with section, key, value and what is allowed. Values are literal: comments stand on lines of their own, starting with ` + "`#` or `;`" + `, and values are not quoted. A duration has a unit (` + "`250ms`, `3s`, `1m30s`" + `).
+
+A secret can be given by a file: the key with the suffix ` + "`_file`" + ` names it, relative to the settings file. White space around the secret is dropped. Secrets appear in no log line, error or audit record.
+
+`
+
+// Markdown returns the content of docs/settings.md.
+func Markdown() string {
+	parts := make([]string, 0, 4)
+	for _, t := range []inifile.Table{NodeTable, PlatformTable, EngineTable, ServiceTable} {
+		parts = append(parts, t.Markdown())
+	}
+	return intro + strings.Join(parts, "\n")
+}
