Declare the configuration in INI files

A configuration could only be seeded from code. Declarations now parse from one INI file to state.Document, with all faults at once: form from the table, references and limits from a check over the document. Lists are sorted by name, so that the order of a file causes no change. Replicas are sections of their own rather than a list in the service, because each has an address and a data centre.

The two examples are parsed by a test.

--- /dev/null
+++ b/pkg/declaration/declaration_test.go
@@ -0,0 +1,172 @@
+package declaration_test
+
+import (
+	"errors"
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	"github.com/apricotgrade/apricotgrade/pkg/declaration"
+	"github.com/apricotgrade/apricotgrade/pkg/inifile"
+)
+
+var update = flag.Bool("update", false, "rewrite docs/declarations.md")
+
+const hash = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"
+
+func parse(t *testing.T, text string) state.Document {
+	t.Helper()
+	doc, err := declaration.Parse("test.ini", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return doc
+}
+
+const base = "[account a]\nkey_sha256 = " + hash + "\n[data_centre north]\n[preset ordinary]\n"
+
+// TestExamples guards against examples that the parser refuses.
+func TestExamples(t *testing.T) {
+	for _, name := range []string{"granite.ini", "pilbara.ini"} {
+		doc, err := declaration.ParseFile(filepath.Join("..", "..", "docs", "examples", name))
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+		if len(doc.DataCentres) != 3 || len(doc.Presets) != 3 || len(doc.Services[0].Replicas) != 3 {
+			t.Errorf("%s: wrong document: %+v", name, doc)
+		}
+	}
+}
+
+// TestReferences guards against declarations that name something that does not
+// exist, contradict themselves, or hide faults behind the first one.
+func TestReferences(t *testing.T) {
+	_, err := declaration.Parse("test.ini", []byte(base+`
+[account b]
+key_sha256 = `+hash+`
+weight = 0
+[model m]
+versions = 1, 2
+adapters = x
+[group g1]
+model = other
+members = 2
+data_centre = south
+cold_limit = 4
+warm_limit = 2
+[group g2]
+model = m
+version = 3
+adapters = x, y
+members = 0
+data_centre = north
+cold_limit = 1
+warm_limit = 2
+[group g3]
+model = m
+members = 1
+data_centre = north
+cold_limit = 1
+warm_limit = 2
+[service s]
+once = post /orders
+lookup = /orders
+cold_limit = 1
+warm_limit = 1
+[service u]
+cold_limit = 1
+warm_limit = 1
+[replica s/one]
+address = 127.0.0.1:1
+data_centre = south
+[replica s/two]
+address = 127.0.0.1:1
+data_centre = north
+[replica v/one]
+address = 127.0.0.1:2
+data_centre = north
+[preset peak]
+weights = c:2
+concurrency = a:1, d:2
+idle_groups = g9
+queue_time = 31s
+[preset peak]
+`))
+	g := gomega.NewWithT(t)
+	var problems inifile.Problems
+	g.Expect(errors.As(err, &problems)).To(gomega.BeTrue())
+	var lines []string
+	for _, p := range problems {
+		g.Expect(p.Allowed).NotTo(gomega.BeEmpty())
+		lines = append(lines, p.Section+"|"+p.Key+"|"+p.Value+"|"+p.Message)
+	}
+	g.Expect(lines).To(gomega.ConsistOf(
+		"account b|key_sha256|"+hash+"|is the key of account a",
+		"account b|weight|0|value is not allowed",
+		"group g1|model|other|names no declared model",
+		"group g1|data_centre|south|names no declared data centre",
+		"group g1|warm_limit|2|is below cold_limit",
+		"group g2|members|0|value is not allowed",
+		"group g2|version|3|names no declared version of model m",
+		"group g2|adapters|y|names no declared adapter of model m",
+		"group g3|version||key is missing",
+		"service s|once|post /orders|value is not allowed",
+		"service s|lookup|/orders|holds no {key}",
+		"service u|||has no replica",
+		"replica s/one|data_centre|south|names no declared data centre",
+		"replica s/two|address|127.0.0.1:1|is the address of replica s/one",
+		"replica v/one|||names no declared service",
+		"preset peak|weights|c|names no declared account",
+		"preset peak|concurrency|d|names no declared account",
+		"preset peak|idle_groups|g9|names no declared group",
+		"preset peak|queue_time|31s|value is not allowed",
+		"preset peak|||section is given twice",
+	))
+}
+
+// TestKeysAreHashes guards against a key in plain text in version control.
+func TestKeysAreHashes(t *testing.T) {
+	_, err := declaration.Parse("test.ini", []byte(strings.Replace(base, hash, "my-key", 1)))
+	gomega.NewWithT(t).Expect(err).To(gomega.MatchError(gomega.ContainSubstring("64 hexadecimal digits")))
+}
+
+// TestDiff guards against a plan that misses a change or that lists changes of
+// order.
+func TestDiff(t *testing.T) {
+	g := gomega.NewWithT(t)
+	group := "[group g1]\nmodel = m\nmembers = 2\ndata_centre = north\ncold_limit = 1\nwarm_limit = 2\n"
+	before := parse(t, base+"[model m]\n"+group)
+	same := parse(t, "[model m]\n"+group+base)
+	g.Expect(declaration.Diff(before, same)).To(gomega.BeEmpty())
+	after := parse(t, base+"[model m]\nadapters = x\n"+strings.Replace(group, "members = 2", "members = 3", 1)+
+		"[data_centre south]\nregion = r\n[account b]\nkey_sha256 = "+strings.Replace(hash, "9f", "8f", 1)+"\n")
+	g.Expect(declaration.Diff(before, after).String()).To(gomega.Equal(strings.Join([]string{
+		"+ [account b] key_sha256 = 8f86d081...",
+		"+ [data_centre south] region = r",
+		"~ [model m] adapters: (default) -> x",
+		"~ [group g1] members: 2 -> 3",
+	}, "\n")))
+	g.Expect(declaration.Diff(after, before).String()).To(gomega.ContainSubstring("- [data_centre south] region = r"))
+}
+
+// TestDocumentation guards against a page that differs from the table.
+func TestDocumentation(t *testing.T) {
+	path := filepath.Join("..", "..", "docs", "declarations.md")
+	if *update {
+		if err := os.WriteFile(path, []byte(declaration.Markdown()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	page, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(page) != declaration.Markdown() {
+		t.Error("docs/declarations.md differs from the table; run go test ./pkg/declaration -update")
+	}
+}
--- /dev/null
+++ b/pkg/declaration/markdown.go
@@ -0,0 +1,26 @@
+package declaration
+
+const intro = `# Declarations
+
+Operators declare client accounts, data centres, models, replica groups, plain services and presets in one INI file that they keep in version control. This page is generated from the table in ` + "`pkg/declaration`" + `; a test compares the two. To update it:
+
+    go test ./pkg/declaration -update
+
+Typical use:
+
+    apricotgrade check declarations.ini    # without a server: form and references
+    apricotgrade plan declarations.ini     # what would change
+    apricotgrade apply declarations.ini    # change it and wait until it is in force everywhere
+
+All errors of a file are reported at once, each with section, key, value and what is allowed. Besides the form of each value the check covers: a group's model, version, adapters and data centre are declared; a replica's service and data centre are declared; a preset's accounts and groups are declared; no section is given twice; no two accounts share a key and no two replicas an address; ` + "`cold_limit` is at most `warm_limit`" + `.
+
+Values are literal: comments stand on lines of their own, starting with ` + "`#` or `;`" + `, and values are not quoted. Lists are separated by commas.
+
+What is not declared: hosts (the platform lists them), which preset is in force (` + "`apricotgrade preset`" + `) and which data centres and targets are out (` + "`apricotgrade out` and `in`" + `). Applying a file leaves these as they are.
+
+Examples: [examples/granite.ini](examples/granite.ini) and [examples/pilbara.ini](examples/pilbara.ini).
+
+`
+
+// Markdown returns the content of docs/declarations.md.
+func Markdown() string { return intro + Table.Markdown() }
