Assemble nodes in pkg/node and run stand-ins by subcommand

The mains held the wiring, which the development mode needs too, and the stand-ins took flags that could not describe hosts or declarations. pkg/node opens the listeners and runs a node from its settings; the stand-ins read INI settings, and the platform stand-in starts from a declarations file. The flags -kind, -hosts and -groups are gone.

--- a/cmd/apricotgraded/main.go
+++ b/cmd/apricotgraded/main.go
@@ -4,56 +4,17 @@
 import (
 	"context"
 	"flag"
-	"log/slog"
-	"net/http"
+	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
-	"time"
 
-	"github.com/apricotgrade/apricotgrade/pkg/core"
-	"github.com/apricotgrade/apricotgrade/pkg/core/state"
-	"github.com/apricotgrade/apricotgrade/pkg/daemon"
-	"github.com/apricotgrade/apricotgrade/pkg/gateway"
-	"github.com/apricotgrade/apricotgrade/pkg/platform"
-	"github.com/apricotgrade/apricotgrade/pkg/settings"
-	"github.com/apricotgrade/apricotgrade/pkg/target"
+	"github.com/apricotgrade/apricotgrade/pkg/node"
 )
 
 func main() {
-	path := flag.String("settings", "apricotgraded.ini", "settings file")
+	path := flag.String("settings", "apricotgraded.ini", "settings file; docs/settings.md lists its keys")
 	flag.Parse()
-	if err := run(*path); err != nil {
-		slog.Error("apricotgraded failed", "error", err)
+	if err := node.Main(context.Background(), *path, os.Stderr); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
-
-func run(path string) error {
-	cfg, err := settings.LoadNode(path)
-	if err != nil {
-		return err
-	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	self := state.Self{
-		ID: state.NodeID(cfg.ID), DataCentre: state.DataCentre(cfg.DataCentre), Address: cfg.Peer,
-		Incarnation: state.Incarnation(time.Now().UnixNano()), DrainNotice: cfg.Drain,
-	}
-	targets := target.New()
-	node := core.New(self, state.Switches{}, uint64(self.Incarnation))
-	d := daemon.New(node, platform.NewClient(cfg.Platform, &http.Client{}), targets, nil, log)
-	server := &http.Server{Addr: cfg.Listen, Handler: gateway.New(d, targets).Handler(), ReadHeaderTimeout: 10 * time.Second}
-	go func() {
-		<-d.Stopping()
-		_ = server.Shutdown(context.Background())
-	}()
-	go func() {
-		signals := make(chan os.Signal, 1)
-		signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-		<-signals
-		d.Feed(state.Shutdown{})
-	}()
-	go func() { _ = server.ListenAndServe() }()
-	d.Run(context.Background())
-	return nil
-}
--- /dev/null
+++ b/pkg/node/main.go
@@ -0,0 +1,52 @@
+package node
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/core/proc"
+	"github.com/zeromicro/go-zero/core/stat"
+
+	"github.com/apricotgrade/apricotgrade/pkg/settings"
+)
+
+// Main runs the entry daemon of a settings file until SIGTERM or an interrupt
+// has ended it gracefully.
+func Main(ctx context.Context, path string, logTo io.Writer) error {
+	QuietLibraries()
+	cfg, err := settings.LoadNode(path)
+	if err != nil {
+		return err
+	}
+	log := slog.New(slog.NewTextHandler(logTo, &slog.HandlerOptions{Level: cfg.LogLevel}))
+	n, err := New(cfg, nil, log)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		// Further signals are received and dropped, so that they neither end
+		// the process nor shorten the shutdown.
+		for range signals {
+			n.Shutdown()
+		}
+	}()
+	n.Run(ctx)
+	return nil
+}
+
+// QuietLibraries stops go-zero from ending the process 5.5 s after SIGTERM,
+// which would cut streams off, and from logging and sampling on its own.
+func QuietLibraries() {
+	proc.SetTimeToForceQuit(math.MaxInt64)
+	logx.Disable()
+	stat.DisableLog()
+	stat.SetReporter(nil)
+}
--- a/pkg/standin/demo.go
+++ b/pkg/standin/demo.go
@@ -36,9 +36,14 @@
 	return doc
 }
 
-// Seed writes a first configuration.
+// Seed writes a first configuration with the preset "ordinary".
 func Seed(ctx context.Context, tables platform.Tables, doc state.Document) error {
-	head := state.Head{Version: 1, Op: "seed", Preset: "ordinary", DocumentVersion: 1}
+	return SeedPreset(ctx, tables, doc, "ordinary")
+}
+
+// SeedPreset writes a first configuration. It does nothing when there is one.
+func SeedPreset(ctx context.Context, tables platform.Tables, doc state.Document, preset string) error {
+	head := state.Head{Version: 1, Op: "seed", Preset: preset, DocumentVersion: 1}
 	_, err := tables.Transact(ctx, state.Transaction{
 		Conditions: []state.Condition{{Key: state.KeyHead}},
 		Writes: []state.Write{
