Claim requests that may not be repeated

A request with Once went straight to a target, so a repeat through another entry host, a lost answer of the table service or a dead holder executed an order twice.

The claims system now writes the row before anything is sent and opens a gate that admission waits for. A try whose answer was lost is settled by its operation id; a claim given up before its outcome was known is marked not run, and until then no send can follow because the gate never opened. Repeats wait for the holder, on this node or through ClaimQuery, and get the stored answer. An unknown outcome is settled only by the service's lookup; an absent order is not taken as proof, because the request may still be on its way.

Ruled out: taking over a held row of a dead holder (its request may still arrive), and answering a repeat with "not run" when its deadline passes (the first request may have run); such a repeat is told that the outcome is unknown.

The retry system creates the rows of requests, so it now runs before claims and admission.

Switching off claims or the outcome rule makes two executions of one key in the specs; with both on there is one.

--- a/pkg/core/admission/admission.go
+++ b/pkg/core/admission/admission.go
@@ -18,29 +18,42 @@
 type System struct {
 	t      *state.Tables
 	picker Picker
+
+	changed *state.DirtySet[state.RequestID]
 }
 
 // New returns the admission system.
-func New(t *state.Tables, picker Picker) *System { return &System{t: t, picker: picker} }
+func New(t *state.Tables, picker Picker) *System {
+	return &System{t: t, picker: picker, changed: t.Requests.Subscribe()}
+}
 
 // Step implements state.System.
 func (s *System) Step(now time.Duration, in state.Input, out *state.Outbox) {
-	arrival, ok := in.(state.RequestArrived)
-	if !ok {
-		return
+	for _, id := range s.changed.Take() {
+		req := s.t.Requests.Get(id)
+		if req == nil || req.Phase != state.RequestQueued || req.Gate == state.GateWaiting {
+			continue
+		}
+		s.dispatch(now, req, out)
 	}
-	req := &state.Request{Arrival: arrival, ArrivedAt: now, Deadline: now + arrival.Timeout}
-	s.t.Requests.Put(arrival.ID, req)
+	if ev, ok := in.(state.AttemptEvent); ok && ev.Stage == state.AttemptEnded {
+		if req := s.t.Requests.Get(ev.Request); req != nil && req.IsCurrent(ev) {
+			req.Running = false
+		}
+	}
+}
+
+func (s *System) dispatch(now time.Duration, req *state.Request, out *state.Outbox) {
+	arrival := &req.Arrival
 	target, found := s.picker.Pick(now, req)
 	if !found {
-		req.Phase, req.Outcome, req.EndedAt = state.RequestEnded, apierror.NotRun, now
-		out.Refuse(arrival.ID, apierror.New(apierror.KindUnavailable, "no_target",
-			"no target can take the request now; send it again later", apierror.NotRun).After(time.Second))
+		s.t.EndWithRefusal(now, req, apierror.New(apierror.KindUnavailable, "no_target",
+			"no target can take the request now; send it again later", apierror.NotRun).After(time.Second), out)
 		return
 	}
-	req.Phase, req.Target, req.Attempt, req.SentAt = state.RequestSent, target, 1, now
+	req.Phase, req.Target, req.Attempt, req.SentAt, req.Running = state.RequestSent, target, 1, now, true
 	out.Add(state.StartAttempt{
 		Request: arrival.ID, Attempt: 1, Target: target, Address: s.t.Targets.Get(target).Address,
-		NewConnection: arrival.Once, Timeout: arrival.Timeout,
+		NewConnection: arrival.Once, Timeout: req.Deadline - now,
 	})
 }
--- /dev/null
+++ b/pkg/core/claims/settle.go
@@ -0,0 +1,157 @@
+package claims
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/apricotgrade/apricotgrade/pkg/apierror"
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	"github.com/apricotgrade/apricotgrade/pkg/event"
+)
+
+// attempted settles the claim of a request whose attempt ended.
+func (s *System) attempted(now time.Duration, ev state.AttemptEvent, out *state.Outbox) {
+	req := s.t.Requests.Get(ev.Request)
+	if req == nil || ev.Stage != state.AttemptEnded || !s.t.IsGuarded(req) || !s.t.Accepts(req, ev) {
+		return
+	}
+	e := s.entries[state.KeyClaim(req.Arrival.Account, req.Arrival.Key)]
+	if e == nil || e.claimant != ev.Request || e.stage != stageHeld {
+		return
+	}
+	outcome := ev.Outcome
+	if outcome == apierror.Unknown && s.t.Switches.IgnoreOutcome {
+		outcome = apierror.NotRun
+	}
+	switch outcome {
+	case apierror.Done:
+		e.waiters = append([]state.RequestID{ev.Request}, e.waiters...)
+		s.settle(now, e, state.ClaimDone, ev.Answer, out)
+	case apierror.NotRun:
+		s.refuse(now, ev.Request, notReached(ev), out)
+		s.settle(now, e, state.ClaimNotRun, nil, out)
+	default:
+		out.Log(event.ClaimUnsettled, slog.String("account", string(e.account)), slog.String("request", string(ev.Request)))
+		e.waiters = append([]state.RequestID{ev.Request}, e.waiters...)
+		s.settle(now, e, state.ClaimUnknown, nil, out)
+	}
+}
+
+// settle gives the claim of this node a phase and stores it.
+func (s *System) settle(now time.Duration, e *entry, phase state.ClaimPhase, answer *state.Answer, out *state.Outbox) {
+	e.stage, e.settledAt = stageFinal, now
+	e.claim.Row.Phase, e.claim.Row.Answer, e.claim.Stored = phase, answer, false
+	s.t.Claims.Touch(e.key)
+	s.persist(e, out)
+	s.serveWaiters(now, e, out)
+}
+
+// persist stores the phase and the answer of a claim.
+func (s *System) persist(e *entry, out *state.Outbox) {
+	if e.store != 0 {
+		return
+	}
+	row := &e.claim.Row
+	if row.Answer != nil && len(row.Answer.Body) > maxRowAnswer && !e.objectPut {
+		row.Object = "claim-answer/" + string(row.Op)
+		s.send(e, opPutObject, state.StoreRequest{PutObject: &state.Object{Key: row.Object, Value: state.Encode(row.Answer)}}, out)
+		return
+	}
+	s.writeRow(e, opPersist, out)
+}
+
+// persisted handles the answer of a write of a final phase, of a write that was
+// in flight when the phase became final, and of a read of a stored answer.
+func (s *System) persisted(now time.Duration, e *entry, reply state.StoreReply, out *state.Outbox) {
+	row := &e.claim.Row
+	if reply.Result == state.StoreUnavailable || reply.Result == state.StoreUnknown {
+		if row.Phase == state.ClaimNotRun {
+			s.refuseWaiters(now, e, storeDown(), out)
+		}
+		s.due.Schedule(e.key, now+persistAgain)
+		return
+	}
+	if e.op == opPutObject {
+		e.objectPut = true
+		s.persist(e, out)
+		return
+	}
+	if reply.Result == state.StoreOK {
+		e.claim.Revision = revisionOf(e.key, reply.Rows)
+		s.stored(now, e, e.written, out)
+		return
+	}
+	present, revision, ok := rowOf(e.key, reply.Rows)
+	if ok && present.Op != row.Op {
+		// The key has a later claim, which is possible only after a claim that
+		// was not run.
+		s.adopt(now, e, present, revision, out)
+		return
+	}
+	e.claim.Revision = revision
+	if !ok {
+		present.Phase = state.ClaimNone
+	}
+	if ok && present.Phase == state.ClaimDone && row.Phase == state.ClaimUnknown {
+		s.adopt(now, e, present, revision, out)
+		return
+	}
+	s.stored(now, e, present.Phase, out)
+}
+
+// stored notes the phase that the table service has.
+func (s *System) stored(now time.Duration, e *entry, phase state.ClaimPhase, out *state.Outbox) {
+	if phase != e.claim.Row.Phase {
+		s.persist(e, out)
+		return
+	}
+	e.claim.Stored = true
+	s.t.Claims.Touch(e.key)
+	s.due.Schedule(e.key, now+keepFor)
+	s.serveWaiters(now, e, out)
+}
+
+func (s *System) objectRead(now time.Duration, e *entry, reply state.StoreReply, out *state.Outbox) {
+	var answer state.Answer
+	if reply.Result != state.StoreOK || state.Decode(reply.Object, &answer) != nil {
+		s.refuseWaiters(now, e, answerLost(), out)
+		return
+	}
+	e.claim.Row.Answer = &answer
+	s.answerWaiters(now, e, out)
+}
+
+func keyReused() *apierror.Error {
+	return apierror.New(apierror.KindKeyReused, "idempotency_key_reused",
+		"the key was used with another body; this body was not sent; use a new key for a new request", apierror.NotRun)
+}
+
+func storeDown() *apierror.Error {
+	return apierror.New(apierror.KindStoreDown, "claim_store_unavailable",
+		"the claim could not be written and this submission was not sent; send it again with the same key",
+		apierror.NotRun).After(time.Second)
+}
+
+func deadlinePassed() *apierror.Error {
+	return apierror.New(apierror.KindDeadline, "deadline_passed",
+		"the deadline passed before the request was sent; send it again with the same key", apierror.NotRun)
+}
+
+func notReached(ev state.AttemptEvent) *apierror.Error {
+	if ev.Failure == state.FailureRefused {
+		return apierror.New(apierror.KindTargetRefused, "target_refused",
+			"the target did not run the request; send it again with the same key", apierror.NotRun).After(time.Second)
+	}
+	return apierror.New(apierror.KindTargetLost, "target_not_reached",
+		"no connection to the target was made; send the request again with the same key", apierror.NotRun).After(time.Second)
+}
+
+func outcomeUnknown() *apierror.Error {
+	return apierror.New(apierror.KindUnknown, "outcome_unknown",
+		"the request may have been executed; repeat it with the same key and body to learn its outcome", apierror.Unknown)
+}
+
+func answerLost() *apierror.Error {
+	return apierror.New(apierror.KindUnavailable, "answer_not_readable",
+		"the request was executed, but its answer cannot be read now; repeat it with the same key", apierror.Done)
+}
--- /dev/null
+++ b/pkg/core/claims_test.go
@@ -0,0 +1,250 @@
+package core_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/apricotgrade/apricotgrade/pkg/apierror"
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+)
+
+func orderDoc(lookup string) state.Document {
+	return state.Document{
+		Accounts: []state.AccountSpec{{Name: "granite", Weight: 1}},
+		Services: []state.ServiceSpec{{
+			Name: "orders", Lookup: lookup, ColdLimit: 100, WarmLimit: 100,
+			Replicas: []state.ServiceReplica{{Name: "a", Address: "addr-a", DataCentre: "north"}},
+		}},
+	}
+}
+
+func order(key, body string) state.RequestArrived {
+	return state.RequestArrived{
+		Account: "granite", Kind: state.KindService, Service: "orders", Method: "POST", Path: "/orders",
+		Once: true, Key: key, BodyHash: body, Cost: 1,
+	}
+}
+
+func broken(w *world, target state.TargetID, executed bool) {
+	w.targets[target].fail = func(s state.StartAttempt) *state.AttemptEvent {
+		if executed {
+			w.targets[target].executions["k"]++
+		}
+		return &state.AttemptEvent{Failure: state.FailureBroken, Outcome: apierror.Unknown}
+	}
+}
+
+func storedPhase(w *world, key string) state.ClaimPhase {
+	rows, err := w.store.Read(GinkgoT().Context(), []string{state.KeyClaim("granite", key)})
+	Expect(err).NotTo(HaveOccurred())
+	if len(rows) == 0 {
+		return state.ClaimNone
+	}
+	var row state.ClaimRow
+	Expect(state.Decode(rows[0].Value, &row)).To(Succeed())
+	return row.Phase
+}
+
+var _ = Describe("claims", func() {
+	var w *world
+	executions := func() int { return w.targets["orders/a"].executions["k"] }
+	outcome := func(id state.RequestID) apierror.Outcome {
+		reply, ok := w.replies[id]
+		if !ok {
+			return "no reply"
+		}
+		if reply.Refusal != nil {
+			return reply.Refusal.Outcome
+		}
+		return apierror.Done
+	}
+	BeforeEach(func() {
+		w = newWorld(2, state.Switches{}, orderDoc("/orders/{key}"))
+		w.run(2 * time.Second)
+	})
+
+	// Guards against a send before the claim row exists.
+	It("writes the row before it sends", func() {
+		w.send(w.nodes[0], order("k", "x"))
+		Expect(w.nodes[0].starts).To(BeEmpty())
+		w.run(3 * time.Millisecond)
+		Expect(storedPhase(w, "k")).To(Equal(state.ClaimHeld))
+		Expect(w.nodes[0].starts).To(HaveLen(1))
+		Expect(w.nodes[0].starts[0].NewConnection).To(BeTrue())
+		w.run(time.Second)
+		Expect(storedPhase(w, "k")).To(Equal(state.ClaimDone))
+	})
+
+	// Guards against a second execution, or a refusal of a request that runs,
+	// when the answer of the insert is lost.
+	It("settles a lost answer of the insert by the operation id", func() {
+		w.loseReplies = 2
+		id := w.send(w.nodes[0], order("k", "x"))
+		w.run(2 * time.Second)
+		Expect(outcome(id)).To(Equal(apierror.Done))
+		Expect(executions()).To(Equal(1))
+	})
+
+	// Guards against a "not run" refusal whose row stays held for ever.
+	It("marks the row when it gave up before the outcome was known", func() {
+		w.loseReplies = 1
+		id := w.send(w.nodes[0], order("k", "x"))
+		w.run(2 * time.Millisecond)
+		w.storeDown = true
+		w.run(time.Second)
+		Expect(outcome(id)).To(Equal(apierror.NotRun))
+		Expect(storedPhase(w, "k")).To(Equal(state.ClaimHeld))
+		w.storeDown = false
+		w.run(time.Second)
+		Expect(storedPhase(w, "k")).To(Equal(state.ClaimNotRun))
+		again := w.send(w.nodes[1], order("k", "x"))
+		w.run(time.Second)
+		Expect(outcome(again)).To(Equal(apierror.Done))
+		Expect(executions()).To(Equal(1))
+	})
+
+	// Guards against orders that wait or are sent without a claim.
+	It("refuses at once while the table service is down", func() {
+		w.storeDown = true
+		id := w.send(w.nodes[0], order("k", "x"))
+		w.run(10 * time.Millisecond)
+		Expect(w.replies[id].Refusal.Kind).To(Equal(apierror.KindStoreDown))
+		Expect(outcome(id)).To(Equal(apierror.NotRun))
+		w.run(time.Minute)
+		Expect(executions()).To(Equal(0))
+	})
+
+	// Guards against a repeat that executes again after its holder died.
+	It("never sends again after the holder died", func() {
+		w.targets["orders/a"].serve = time.Hour
+		w.send(w.nodes[0], order("k", "x"))
+		w.run(20 * time.Millisecond)
+		w.targets["orders/a"].executions["k"] = 0 // still on its way
+		w.kill(w.nodes[0])
+		id := w.send(w.nodes[1], order("k", "x"))
+		w.run(5 * time.Second)
+		Expect(w.replies).NotTo(HaveKey(id), "an absent order proves nothing")
+		w.targets["orders/a"].executions["k"] = 1
+		w.run(time.Second)
+		Expect(outcome(id)).To(Equal(apierror.Done))
+		Expect(storedPhase(w, "k")).To(Equal(state.ClaimDone))
+		Expect(w.nodes[1].starts).To(BeEmpty())
+	})
+
+	// Guards against a false "not run" when the lookup finds nothing.
+	It("reports unknown when no lookup settles a dead holder's claim", func() {
+		w = newWorld(2, state.Switches{}, orderDoc(""))
+		w.run(2 * time.Second)
+		w.send(w.nodes[0], order("k", "x"))
+		w.run(10 * time.Millisecond)
+		w.kill(w.nodes[0])
+		id := w.send(w.nodes[1], order("k", "x"))
+		w.run(3 * time.Second)
+		Expect(outcome(id)).To(Equal(apierror.Unknown))
+		Expect(w.nodes[1].starts).To(BeEmpty())
+	})
+
+	// Guards against two executions or two answers of one key.
+	It("gives repeats here and elsewhere the answer of the first", func() {
+		first := w.send(w.nodes[0], order("k", "x"))
+		here := w.send(w.nodes[0], order("k", "x"))
+		w.run(10 * time.Millisecond)
+		elsewhere := w.send(w.nodes[1], order("k", "x"))
+		w.run(time.Second)
+		late := w.send(w.nodes[1], order("k", "x"))
+		w.run(time.Second)
+		for _, id := range []state.RequestID{here, elsewhere, late} {
+			Expect(w.replies[id].Repeated).To(BeTrue())
+			Expect(w.replies[id].Answer).To(Equal(w.replies[first].Answer))
+		}
+		Expect(executions()).To(Equal(1))
+	})
+
+	// Guards against a lost answer when it is too large for a row.
+	It("stores a large answer in the object store", func() {
+		w.targets["orders/a"].fail = func(state.StartAttempt) *state.AttemptEvent {
+			return &state.AttemptEvent{Outcome: apierror.Done, Answer: &state.Answer{Status: 200, Body: make([]byte, 300<<10)}}
+		}
+		w.send(w.nodes[0], order("k", "x"))
+		w.run(time.Second)
+		w.kill(w.nodes[0])
+		id := w.send(w.nodes[1], order("k", "x"))
+		w.run(time.Second)
+		Expect(w.replies[id].Answer.Body).To(HaveLen(300 << 10))
+		Expect(w.nodes[1].starts).To(BeEmpty())
+	})
+
+	// Guards against a caller that takes another order's answer for its own.
+	It("refuses another body under the same key", func() {
+		w.send(w.nodes[0], order("k", "x"))
+		here := w.send(w.nodes[0], order("k", "y"))
+		w.run(10 * time.Millisecond)
+		elsewhere := w.send(w.nodes[1], order("k", "y"))
+		w.run(time.Second)
+		for _, id := range []state.RequestID{here, elsewhere} {
+			Expect(w.replies[id].Refusal).NotTo(BeNil())
+			Expect(w.replies[id].Refusal.Kind).To(Equal(apierror.KindKeyReused))
+		}
+		Expect(executions()).To(Equal(1))
+	})
+
+	// Guards against one order that is taken for another of the same account.
+	It("keeps keys apart", func() {
+		w.send(w.nodes[0], order("k", "x"))
+		other := w.send(w.nodes[1], order("k2", "y"))
+		w.run(time.Second)
+		Expect(outcome(other)).To(Equal(apierror.Done))
+		Expect(storedPhase(w, "k2")).To(Equal(state.ClaimDone))
+	})
+
+	// Guards against a key that stays blocked although no byte left.
+	It("frees the key when no byte left", func() {
+		w.targets["orders/a"].fail = func(state.StartAttempt) *state.AttemptEvent {
+			return &state.AttemptEvent{Failure: state.FailureConnect, Outcome: apierror.NotRun}
+		}
+		id := w.send(w.nodes[0], order("k", "x"))
+		w.run(time.Second)
+		Expect(outcome(id)).To(Equal(apierror.NotRun))
+		Expect(storedPhase(w, "k")).To(Equal(state.ClaimNotRun))
+		w.targets["orders/a"].fail = nil
+		again := w.send(w.nodes[1], order("k", "x"))
+		w.run(5 * time.Second)
+		Expect(outcome(again)).To(Equal(apierror.Done))
+		Expect(executions()).To(Equal(1))
+	})
+
+	// Guards against a repeat of a request that broke after it was executed.
+	It("settles a broken connection by the lookup", func() {
+		broken(w, "orders/a", true)
+		id := w.send(w.nodes[0], order("k", "x"))
+		w.run(time.Second)
+		Expect(outcome(id)).To(Equal(apierror.Done))
+		Expect(executions()).To(Equal(1))
+	})
+
+	Context("with a mechanism switched off", func() {
+		// repeatBoth sends a key twice through both nodes.
+		repeatBoth := func(s state.Switches, breaks bool) int {
+			w = newWorld(2, s, orderDoc("/orders/{key}"))
+			w.run(2 * time.Second)
+			if breaks {
+				broken(w, "orders/a", true)
+			}
+			for _, n := range w.nodes {
+				w.send(n, order("k", "x"))
+				w.run(time.Second)
+			}
+			return executions()
+		}
+		It("executes twice without claims", func() {
+			Expect(repeatBoth(state.Switches{}, false)).To(Equal(1))
+			Expect(repeatBoth(state.Switches{IgnoreClaims: true}, false)).To(BeNumerically(">", 1))
+		})
+		It("executes twice when an unknown outcome counts as not run", func() {
+			Expect(repeatBoth(state.Switches{}, true)).To(Equal(1))
+			Expect(repeatBoth(state.Switches{IgnoreOutcome: true}, true)).To(BeNumerically(">", 1))
+		})
+	})
+})
--- a/pkg/core/core.go
+++ b/pkg/core/core.go
@@ -36,8 +36,10 @@
 			membership.New(t),
 			placement.New(t),
 			router,
-			claims.New(t),
+			// The retry system creates the rows of requests, which claims and
+			// admission read in the same step.
 			retry.New(t),
+			claims.New(t),
 			admission.New(t, router),
 			lifecycle.New(t),
 		},
--- a/pkg/core/retry/retry.go
+++ b/pkg/core/retry/retry.go
@@ -16,19 +16,22 @@
 
 // Step implements state.System.
 func (s *System) Step(now time.Duration, in state.Input, out *state.Outbox) {
+	if arrival, ok := in.(state.RequestArrived); ok {
+		s.t.Requests.Put(arrival.ID, &state.Request{Arrival: arrival, ArrivedAt: now, Deadline: now + arrival.Timeout})
+		return
+	}
 	ev, ok := in.(state.AttemptEvent)
 	if !ok || ev.Stage != state.AttemptEnded {
 		return
 	}
 	req := s.t.Requests.Get(ev.Request)
-	if req == nil || req.Phase == state.RequestEnded {
+	if req == nil || s.t.IsGuarded(req) || !s.t.Accepts(req, ev) {
 		return
 	}
-	req.Phase, req.Outcome, req.EndedAt = state.RequestEnded, ev.Outcome, now
 	if ev.Failure == state.FailureNone {
-		out.Add(state.Reply{Request: ev.Request, Answer: ev.Answer})
+		s.t.EndWithAnswer(now, req, state.Reply{Answer: ev.Answer}, out)
 		return
 	}
-	out.Refuse(ev.Request, apierror.New(apierror.KindTargetLost, "target_lost",
-		"the target failed; send the request again", ev.Outcome))
+	s.t.EndWithRefusal(now, req, apierror.New(apierror.KindTargetLost, "target_lost",
+		"the target failed; send the request again", ev.Outcome), out)
 }
--- a/pkg/core/state/input.go
+++ b/pkg/core/state/input.go
@@ -96,6 +96,18 @@
 	Gap bool
 }
 
+// LookupResult answers a FetchLookup.
+type LookupResult struct {
+	Account AccountID
+	Key     string
+	// OK is false when the service did not answer.
+	OK bool
+	// Found means that the request was executed. The opposite is no proof while
+	// the request may still be on its way.
+	Found  bool
+	Answer *Answer
+}
+
 // Priority orders the requests of one account.
 type Priority uint8
 
@@ -247,6 +259,7 @@
 func (HostList) input()          {}
 func (ProbeResult) input()       {}
 func (LoadReport) input()        {}
+func (LookupResult) input()      {}
 func (RequestArrived) input()    {}
 func (AttemptEvent) input()      {}
 func (CallerGone) input()        {}
--- a/pkg/core/state/output.go
+++ b/pkg/core/state/output.go
@@ -75,6 +75,16 @@
 	SentAt  time.Duration
 }
 
+// FetchLookup asks a plain service whether a request with a key was executed.
+// The answer is a LookupResult.
+type FetchLookup struct {
+	Account AccountID
+	Key     string
+	Service string
+	Address string
+	Path    string
+}
+
 // OrderKind is what an engine is told to do.
 type OrderKind uint8
 
@@ -164,6 +174,7 @@
 func (FetchHosts) output()    {}
 func (Probe) output()         {}
 func (FetchLoad) output()     {}
+func (FetchLookup) output()   {}
 func (EngineOrder) output()   {}
 func (StartAttempt) output()  {}
 func (CancelAttempt) output() {}
--- /dev/null
+++ b/pkg/core/state/request.go
@@ -0,0 +1,105 @@
+package state
+
+import (
+	"slices"
+	"time"
+
+	"github.com/apricotgrade/apricotgrade/pkg/apierror"
+)
+
+// ClaimGate says whether a request that needs a claim may be sent. Written by
+// the claims system.
+type ClaimGate uint8
+
+// Claim gates.
+const (
+	// GateNone is the gate of a request without a claim.
+	GateNone ClaimGate = iota
+	// GateWaiting waits for the claim row or for the answer of another holder.
+	GateWaiting
+	// GateOpen holds the claim and may be sent once.
+	GateOpen
+)
+
+// NextStep is what follows the end of an attempt. Written by the retry system.
+type NextStep uint8
+
+// Next steps.
+const (
+	// NextNone leaves the request where it is.
+	NextNone NextStep = iota
+	// NextRestart queues the request again for another target.
+	NextRestart
+	// NextResume continues the generation at the same target.
+	NextResume
+)
+
+// Counters count what no row holds.
+type Counters struct {
+	// StaleEvents counts events of an attempt that was not the present one.
+	StaleEvents uint64
+	// Retries, Resumes and BudgetRefusals count decisions after a failure.
+	Retries        uint64
+	Resumes        uint64
+	BudgetRefusals uint64
+	// ColdTurns counts targets that turned cold.
+	ColdTurns uint64
+}
+
+// IsGuarded reports whether a request needs a claim.
+func (t *Tables) IsGuarded(req *Request) bool {
+	return req.Arrival.Once && !t.Switches.IgnoreClaims
+}
+
+// IsCurrent reports whether an attempt event belongs to the running attempt of
+// the request.
+func (r *Request) IsCurrent(ev AttemptEvent) bool { return r.Running && r.Attempt == ev.Attempt }
+
+// Accepts reports whether an attempt event may decide about the request.
+func (t *Tables) Accepts(req *Request, ev AttemptEvent) bool {
+	return req.IsCurrent(ev) || t.Switches.IgnoreAttempt
+}
+
+// EndWithRefusal ends a request with a refusal. It is one of the two places
+// that write the end columns, so that a request gets exactly one reply.
+func (t *Tables) EndWithRefusal(now time.Duration, req *Request, refusal *apierror.Error, out *Outbox) {
+	t.end(now, req, Reply{Refusal: refusal}, refusal.Outcome, out)
+}
+
+// EndWithAnswer ends a request with a whole answer.
+func (t *Tables) EndWithAnswer(now time.Duration, req *Request, reply Reply, out *Outbox) {
+	t.end(now, req, reply, apierror.Done, out)
+}
+
+func (t *Tables) end(now time.Duration, req *Request, reply Reply, outcome apierror.Outcome, out *Outbox) {
+	if req.Phase == RequestEnded {
+		return
+	}
+	// A request with Once keeps its attempt, whose answer still belongs to the
+	// claim. The cancel precedes the reply, which releases the exchange.
+	if req.Running && !req.Arrival.Once {
+		out.Add(CancelAttempt{Request: req.Arrival.ID, Attempt: req.Attempt})
+	}
+	req.Phase, req.Outcome, req.EndedAt = RequestEnded, outcome, now
+	reply.Request = req.Arrival.ID
+	out.Add(reply)
+	t.Requests.Touch(req.Arrival.ID)
+}
+
+// Preset returns the specification of the preset in force.
+func (c *Configuration) Preset() PresetSpec {
+	i := slices.IndexFunc(c.Document.Presets, func(p PresetSpec) bool { return p.Name == c.Head.Preset })
+	if i < 0 {
+		return PresetSpec{Name: c.Head.Preset}
+	}
+	return c.Document.Presets[i]
+}
+
+// Service returns the specification of a plain service.
+func (c *Configuration) Service(name string) (ServiceSpec, bool) {
+	i := slices.IndexFunc(c.Document.Services, func(s ServiceSpec) bool { return s.Name == name })
+	if i < 0 {
+		return ServiceSpec{}, false
+	}
+	return c.Document.Services[i], true
+}
--- a/pkg/core/state/row.go
+++ b/pkg/core/state/row.go
@@ -259,7 +259,8 @@
 
 // Request is a request of a caller. Arrival fields never change; Phase, Target
 // and Attempt are written by the admission system through its dispatch, Claim
-// fields by the claims system, outcome fields by the retry system.
+// fields by the claims system, Next by the retry system. The end columns are
+// written only by EndWithRefusal and EndWithAnswer.
 type Request struct {
 	Arrival RequestArrived
 	Phase   RequestPhase
@@ -280,6 +281,13 @@
 	Outcome    apierror.Outcome
 	EndedAt    time.Duration
 	CallerGone bool
+	// Gate is the state of the request's claim.
+	Gate ClaimGate
+	// Running is set from the start of an attempt until its last event. Written
+	// by the admission system.
+	Running bool
+	// Next is what follows the end of an attempt.
+	Next NextStep
 }
 
 // ClaimPhase is the phase of a claim.
--- a/pkg/core/state/tables.go
+++ b/pkg/core/state/tables.go
@@ -24,6 +24,7 @@
 	Accounts *Table[AccountID, Account]
 	Requests *Table[RequestID, Request]
 	Claims   *Table[string, Claim]
+	Counters Counters
 
 	// Ready is written by the lifecycle system.
 	Ready bool
