--- a/pkg/scenario/attempt.go
+++ b/pkg/scenario/attempt.go
@@ -269,7 +269,7 @@
 	}
 	a.req.Ran++
 	w.Checks.executed(a.req)
-	answer := state.Answer{Status: 200, ContentType: "application/json", Body: []byte(a.req.Key() + " " + a.req.body)}
+	answer := orderAnswer(a.req.Key(), a.req.body)
 	switch svc.Mode {
 	case ServiceResets:
 		w.After(sameCentre, func() { a.end(state.FailureBroken, apierror.Unknown) })
@@ -280,14 +280,14 @@
 	}
 }
 
-func (a *attempt) serviceAnswers(answer state.Answer) {
+func (a *attempt) serviceAnswers(answer *state.Answer) {
 	if a.done || a.silent {
 		return
 	}
 	a.done = true
 	a.feed(state.AttemptEvent{
 		Request: a.start.Request, Attempt: a.start.Attempt, Stage: state.AttemptEnded,
-		Outcome: apierror.Done, Status: answer.Status, Answer: &answer,
+		Outcome: apierror.Done, Status: answer.Status, Answer: answer,
 	})
 }
 
--- a/pkg/scenario/checks.go
+++ b/pkg/scenario/checks.go
@@ -38,6 +38,8 @@
 	broken     map[state.GroupID]time.Duration
 	versions   map[state.NodeID]state.Version
 	executions map[string]int
+	// orders holds the body of each executed order.
+	orders map[string]string
 }
 
 func newChecks(w *World) *Checks {
@@ -52,6 +54,7 @@
 		broken:     map[state.GroupID]time.Duration{},
 		versions:   map[state.NodeID]state.Version{},
 		executions: map[string]int{},
+		orders:     map[string]string{},
 	}
 }
 
@@ -259,6 +262,7 @@
 
 func (c *Checks) executed(r *Request) {
 	c.executions[r.Key()]++
+	c.orders[r.Key()] = r.body
 	if n := c.executions[r.Key()]; n > 1 {
 		c.breach("I7", "order %s executed %d times", r.Key(), n)
 	}
--- a/pkg/scenario/node.go
+++ b/pkg/scenario/node.go
@@ -156,6 +156,8 @@
 		w.fetchLoad(n, out)
 	case state.EngineOrder:
 		w.engineOrder(n, out)
+	case state.FetchLookup:
+		w.lookup(n, out)
 	case state.StartAttempt:
 		w.startAttempt(n, out)
 	case state.CancelAttempt:
--- a/pkg/scenario/service.go
+++ b/pkg/scenario/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
@@ -50,3 +51,31 @@
 	}
 	return nil
 }
+
+// lookup answers a node's question for an order.
+func (w *World) lookup(n *Node, f state.FetchLookup) {
+	result := state.LookupResult{Account: f.Account, Key: f.Key}
+	svc := w.Service(state.TargetID(f.Address))
+	reachable := svc != nil && svc.Alive && w.Network.Passes(string(n.ID), f.Address) && w.Network.Passes(f.Address, string(n.ID))
+	if !reachable {
+		n.later(dialTimeout, result)
+		return
+	}
+	way := w.delay(n.DataCentre, svc.DataCentre)
+	life := n.Starts
+	w.After(way, func() {
+		result.OK = true
+		key := string(f.Account) + "/" + f.Key
+		if body, found := w.Checks.orders[key]; found {
+			result.Found, result.Answer = true, orderAnswer(key, body)
+		}
+		if n.Starts == life {
+			n.later(way, result)
+		}
+	})
+}
+
+// orderAnswer is the answer of the order service, which never changes.
+func orderAnswer(key, body string) *state.Answer {
+	return &state.Answer{Status: http.StatusOK, ContentType: "application/json", Body: []byte(key + " " + body)}
+}
