Exchange evidence, counts and verdicts between nodes

The thin membership system probed every host from every node and knew no peers, so that a node had no evidence but its own reads of the platform.

Nodes now poll one another each 250 ms; a reply holds the configuration version with the age of its evidence, and the counts and verdicts that changed since the asker's cursor. Two watchers probe each group; the others take their verdicts, dated by the send time of the poll. A node without a fresh verdict probes the group itself.

Ruled out: counting the word of a watcher that reaches less than half of the hosts it probes. It names the data centre in its replies, probes on without counting, and the next node in rendezvous order takes its place.

The columns and message fields are additive. Peer.EvidenceAt, CaughtUp and Accepted carry what the configuration system needs; Head.Joined and Left give the registry of the version before without a second copy of it.

--- a/pkg/core/membership/membership.go
+++ b/pkg/core/membership/membership.go
@@ -1,5 +1,6 @@
 // Package membership knows which entry daemons, hosts and replica group members
-// are alive.
+// are alive. Nodes poll one another; each group is probed by its watchers, and
+// the other nodes take the watchers' verdicts with their age.
 package membership
 
 import (
@@ -11,36 +12,56 @@
 const (
 	// listPeriod is the period of reads of the platform's list of hosts.
 	listPeriod = time.Second
-	// probePeriod is the period of probes of a member.
-	probePeriod = 250 * time.Millisecond
 	// VerdictFor is how long the evidence behind a verdict lasts.
 	VerdictFor = 1500 * time.Millisecond
 )
 
-// System reads Config and the row columns of Groups; it writes Peers, the
-// listed and probed columns of Hosts and the verdict columns of Groups.
+// System reads Config, Draining and the row columns of Groups, and the
+// counts in flight of Targets and Accounts. It writes Peers, the listed and
+// probed columns of Hosts and the verdict columns of Groups, and clears Suspect
+// of Targets.
 type System struct {
 	t        *state.Tables
 	nextList time.Duration
-	probes   *state.DueQueue[state.HostID]
-	hosts    *state.DirtySet[state.HostID]
+	exchange exchange
+	log      changeLog
+	watch    watch
+	prober   prober
+	suspects suspects
 }
 
 // New returns the membership system.
 func New(t *state.Tables) *System {
-	return &System{t: t, probes: state.NewDueQueue[state.HostID](), hosts: t.Hosts.Subscribe()}
+	s := &System{t: t}
+	s.exchange.init(t)
+	s.log.init(t)
+	s.watch.init(t)
+	s.prober.init()
+	s.suspects.init(t)
+	return s
 }
 
 // Step implements state.System.
 func (s *System) Step(now time.Duration, in state.Input, out *state.Outbox) {
+	s.followRegistry(now, out)
+	s.followGroups(now)
 	switch in := in.(type) {
 	case state.Tick:
 		s.tick(now, out)
+	case state.PeerLink:
+		s.peerLink(now, in, out)
+	case state.PeerMessage:
+		s.peerMessage(now, in, out)
 	case state.HostList:
 		s.listed(now, in)
 	case state.ProbeResult:
-		s.probed(in)
+		s.probed(now, in, out)
+	case state.LoadReport:
+		s.loadReported(in)
 	}
+	s.reassign(now, out)
+	s.log.collect(s.t)
+	s.followSuspects(now)
 }
 
 func (s *System) tick(now time.Duration, out *state.Outbox) {
@@ -48,57 +69,33 @@
 		s.nextList = now + listPeriod
 		out.Add(state.FetchHosts{})
 	}
-	for {
-		id, ok := s.probes.Pop(now)
-		if !ok {
-			return
-		}
-		host := s.t.Hosts.Get(id)
-		if host == nil {
-			continue
-		}
-		out.Add(state.Probe{Host: id, Address: host.Address, SentAt: now})
-		s.probes.Schedule(id, now+probePeriod)
-	}
+	s.expireSilent(now, out)
+	s.poll(now, out)
+	s.probe(now, out)
+	s.expireVerdicts(now, out)
 }
 
 func (s *System) listed(now time.Duration, list state.HostList) {
+	present := make(map[state.HostID]bool, len(list.Hosts))
 	for _, h := range list.Hosts {
-		row := s.t.Hosts.Get(h.ID)
+		present[h.ID] = true
+		old := s.t.Hosts.Get(h.ID)
+		row := old
 		if row == nil {
 			row = &state.Host{ID: h.ID}
-			s.probes.Schedule(h.ID, now)
+		} else if row.Listed && row.Address == h.Address && row.DataCentre == h.DataCentre &&
+			row.Domain == h.Domain && row.Leaving == h.Leaving {
+			continue
 		}
 		row.Address, row.DataCentre, row.Domain = h.Address, h.DataCentre, h.Domain
 		row.Listed, row.Leaving = true, h.Leaving
 		s.t.Hosts.Put(h.ID, row)
+		s.startProbing(now, h.ID)
 	}
-}
-
-func (s *System) probed(res state.ProbeResult) {
-	host := s.t.Hosts.Get(res.Host)
-	if host == nil || !res.OK {
-		return
-	}
-	host.Probe, host.ProbeAt = res.Answer, res.SentAt
-	group := s.t.Groups.Get(res.Answer.Group)
-	if group == nil {
-		return
-	}
-	s.judge(group)
-}
-
-func (s *System) judge(group *state.Group) {
-	group.Whole = len(group.Members) > 0
-	for i, m := range group.Members {
-		host := s.t.Hosts.Get(m)
-		if host == nil || host.Probe.Phase != state.PhaseReady || host.Probe.Group != group.ID {
-			group.Whole = false
-			return
-		}
-		if i == 0 || host.ProbeAt < group.WholeAt {
-			group.WholeAt = host.ProbeAt
+	for id, row := range s.t.Hosts.All() {
+		if row.Listed && !present[id] {
+			row.Listed = false
+			s.t.Hosts.Touch(id)
 		}
 	}
-	s.t.Groups.Touch(group.ID)
 }
--- /dev/null
+++ b/pkg/core/membership/votes.go
@@ -0,0 +1,165 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+)
+
+// ownVerdictAge returns the age of the oldest probe behind this node's whole
+// verdicts.
+func (s *System) ownVerdictAge(now time.Duration) time.Duration {
+	w := &s.watch
+	if w.ageAt == now {
+		return w.age
+	}
+	w.ageAt, w.age = now, 0
+	for _, g := range w.groups {
+		if g.published && g.own != nil && g.own.whole {
+			w.age = max(w.age, now-g.own.at)
+		}
+	}
+	return w.age
+}
+
+// ownVerdict returns this node's verdict on a group for a reply.
+func (s *System) ownVerdict(now time.Duration, id state.GroupID) state.Verdict {
+	g := s.watch.groups[id]
+	if g == nil || !g.published || g.own == nil {
+		return state.Verdict{Group: id, Age: -1}
+	}
+	v := state.Verdict{
+		Group: id, Fence: g.own.fence, Whole: g.own.whole, Age: now - g.own.at,
+		Incarnations: g.own.incarnations, Straggler: g.own.straggler,
+	}
+	for _, d := range g.own.dead {
+		v.Dead = append(v.Dead, state.DeadMember{Host: d.host, Since: now - d.since})
+	}
+	return v
+}
+
+// takeVerdicts takes the verdicts in a reply and dates those that did not
+// change anew.
+func (s *System) takeVerdicts(now time.Duration, from state.NodeID, sentAt time.Duration, r *state.PollReply, out *state.Outbox) {
+	ps := s.exchange.peers[from]
+	for _, v := range r.Verdicts {
+		if v.Age < 0 {
+			ps.groups = without(ps.groups, v.Group)
+			if g := s.watch.groups[v.Group]; g != nil {
+				delete(g.votes, from)
+				s.combine(now, g, out)
+			}
+			continue
+		}
+		ps.groups = with(ps.groups, v.Group)
+		s.group(v.Group).votes[from] = newVote(now, sentAt, v)
+	}
+	for _, id := range ps.groups {
+		g := s.watch.groups[id]
+		if g == nil {
+			continue
+		}
+		v := g.votes[from]
+		if v == nil {
+			continue
+		}
+		if v.whole {
+			v.at = max(v.at, sentAt-r.VerdictAge)
+		} else {
+			v.at = max(v.at, sentAt)
+		}
+		s.combine(now, g, out)
+	}
+}
+
+// group returns the state of a group. A peer may judge a group before this node
+// has read its row.
+func (s *System) group(id state.GroupID) *groupState {
+	g := s.watch.groups[id]
+	if g == nil {
+		g = &groupState{id: id, votes: map[state.NodeID]*vote{}}
+		s.watch.groups[id] = g
+	}
+	return g
+}
+
+func newVote(now, sentAt time.Duration, v state.Verdict) *vote {
+	n := &vote{
+		fence: v.Fence, whole: v.Whole, at: sentAt - v.Age, incarnations: v.Incarnations, straggler: v.Straggler,
+	}
+	for _, d := range v.Dead {
+		// The time without an answer counts from the arrival of the reply, so
+		// that a slow reply makes a member no longer dead than it is.
+		n.dead = append(n.dead, deadMember{d.Host, now - d.Since})
+	}
+	return n
+}
+
+// dropVotes forgets the verdicts of a peer.
+func (s *System) dropVotes(from state.NodeID) {
+	ps := s.exchange.peers[from]
+	if ps == nil {
+		return
+	}
+	for _, id := range ps.groups {
+		if g := s.watch.groups[id]; g != nil {
+			delete(g.votes, from)
+		}
+	}
+	ps.groups = nil
+	s.watch.changed = true
+}
+
+// suspects are the targets to which a connection failed.
+type suspects struct {
+	dirty *state.DirtySet[state.TargetID]
+	// since is when this system first saw that the target is suspect.
+	since map[state.TargetID]time.Duration
+	ids   []state.TargetID
+}
+
+func (x *suspects) init(t *state.Tables) {
+	x.dirty, x.since = t.Targets.Subscribe(), map[state.TargetID]time.Duration{}
+}
+
+// followSuspects clears the targets whose group is whole by probes that were
+// sent after the connection failed.
+func (s *System) followSuspects(now time.Duration) {
+	x := &s.suspects
+	for _, id := range x.dirty.Take() {
+		row := s.t.Targets.Get(id)
+		if row == nil || !row.Suspect {
+			delete(x.since, id)
+			x.ids = without(x.ids, id)
+			continue
+		}
+		if _, ok := x.since[id]; !ok {
+			x.since[id] = now
+			x.ids = with(x.ids, id)
+		}
+	}
+	for _, id := range slices.Clone(x.ids) {
+		row := s.t.Targets.Get(id)
+		group := s.t.Groups.Get(row.Group)
+		if row.Group != "" && group != nil && group.Whole && group.WholeAt > x.since[id] {
+			s.clearSuspect(id)
+		}
+	}
+}
+
+func (s *System) clearSuspect(id state.TargetID) {
+	s.t.Targets.Get(id).Suspect = false
+	s.t.Targets.Touch(id)
+}
+
+// loadReported clears a suspect replica of a plain service, which has no group
+// and therefore no probe of its own.
+func (s *System) loadReported(in state.LoadReport) {
+	x := &s.suspects
+	since, ok := x.since[in.Target]
+	row := s.t.Targets.Get(in.Target)
+	if ok && row != nil && row.Group == "" && in.OK && in.SentAt > since {
+		s.clearSuspect(in.Target)
+	}
+}
--- a/pkg/core/state/config.go
+++ b/pkg/core/state/config.go
@@ -17,6 +17,17 @@
 	// DocumentVersion is the version at which the document last changed. The
 	// document is in table row "config/doc/<version>".
 	DocumentVersion Version `cbor:"7,keyasint"`
+	// Joined and Left are the node that this version added to the registry and
+	// the one that it removed. With Nodes they give the registry of the version
+	// before, which the acceptance of this version needs.
+	Joined NodeID     `cbor:"8,keyasint,omitempty"`
+	Left   *NodeEntry `cbor:"9,keyasint,omitempty"`
+	// Forgotten is set when an operator stated that Left is gone for good. Such
+	// a node answers nobody, so that acceptance need not wait for it.
+	Forgotten bool `cbor:"10,keyasint,omitempty"`
+	// OperatorVersion is the version of the last change by an operator. Changes
+	// of the registry leave it as it is.
+	OperatorVersion Version `cbor:"11,keyasint,omitempty"`
 }
 
 // NodeEntry is one registered entry daemon.
@@ -129,6 +140,10 @@
 	Action   string  `cbor:"3,keyasint"`
 	Before   string  `cbor:"4,keyasint"`
 	After    string  `cbor:"5,keyasint"`
-	// AtUnixMilli is the wall clock of the node that took the command.
+	// AtUnixMilli is the wall clock of the node that took the command; 0 for
+	// changes of the registry, which nodes make themselves.
 	AtUnixMilli int64 `cbor:"6,keyasint"`
+	// Op is the write that made the change. It settles a lost answer even when a
+	// later version has replaced the head.
+	Op OpID `cbor:"7,keyasint,omitempty"`
 }
--- a/pkg/core/state/due.go
+++ b/pkg/core/state/due.go
@@ -58,6 +58,9 @@
 	return it.key, true
 }
 
+// Has reports whether a key is scheduled.
+func (q *DueQueue[K]) Has(key K) bool { _, ok := q.index[key]; return ok }
+
 // Len returns the number of scheduled keys.
 func (q *DueQueue[K]) Len() int { return len(q.items) }
 
--- a/pkg/core/state/message.go
+++ b/pkg/core/state/message.go
@@ -47,9 +47,16 @@
 	// Loads and Usage hold the sender's own counts that changed.
 	Loads []TargetCount  `cbor:"10,keyasint,omitempty"`
 	Usage []AccountValue `cbor:"11,keyasint,omitempty"`
+	// Unreached lists the registered nodes that have not answered the sender
+	// for the removal time.
+	Unreached []NodeID `cbor:"12,keyasint,omitempty"`
+	// Blind lists the data centres of which the sender reaches less than half
+	// of the hosts that it probes.
+	Blind []DataCentre `cbor:"13,keyasint,omitempty"`
 }
 
-// Verdict is a watcher's word on a replica group.
+// Verdict is a watcher's word on a replica group. A negative age takes it
+// back, because the sender no longer watches the group.
 type Verdict struct {
 	Group        GroupID       `cbor:"1,keyasint"`
 	Fence        Fence         `cbor:"2,keyasint"`
--- a/pkg/core/state/row.go
+++ b/pkg/core/state/row.go
@@ -33,6 +33,12 @@
 	Accepted Version
 	// PreviousNodes is the registry of the version before Head.
 	PreviousNodes []NodeEntry
+	// CaughtUp is set once the platform or a majority has confirmed the copy.
+	// Until then a node sends no work and counts towards no majority.
+	CaughtUp bool
+	// Collect asks the membership system to poll every node and not only its
+	// fan-out, because a majority or reports of all nodes are needed.
+	Collect bool
 }
 
 // Peer is another entry daemon. Written by the membership system.
@@ -47,7 +53,22 @@
 	// Version is the configuration version that it reported, dated VersionAt.
 	Version   Version
 	VersionAt time.Duration
-	Leaving   bool
+	// CaughtUp, Accepted and EvidenceAt are what it reported with Version.
+	// EvidenceAt is on this node's clock; negative means none.
+	CaughtUp   bool
+	Accepted   Version
+	EvidenceAt time.Duration
+	// SilentSince is the send time of the first poll without an answer, or the
+	// time since when there is no link; 0 when the last poll was answered.
+	SilentSince time.Duration
+	// Unreachable is set when the peer has been silent for the removal time.
+	Unreachable bool
+	// Unreached lists the nodes that are unreachable for the peer.
+	Unreached []NodeID
+	// Blind lists the data centres of which the peer reaches less than half of
+	// the hosts that it probes. It is no witness of dead members there.
+	Blind   []DataCentre
+	Leaving bool
 	// Loads and Usage are the peer's own counts of requests in flight, sorted.
 	Loads []TargetCount
 	Usage []AccountValue
@@ -118,6 +139,8 @@
 	// Whole is the last verdict, dated WholeAt by the oldest probe behind it.
 	Whole   bool
 	WholeAt time.Duration
+	// Judged is set once a watcher or this node has a verdict, whole or not.
+	Judged bool
 	// Incarnations are those of the members, in the order of Members.
 	Incarnations []Incarnation
 	// Straggler is set when a member is much slower than the others.
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -13,6 +13,10 @@
 	ConfigCommitted ID = 1003
 	ConfigAccepted  ID = 1004
 	ConfigConflict  ID = 1005
+	ConfigUnsettled ID = 1006
+	NodeRegistered  ID = 1007
+	NodeRemoved     ID = 1008
+	ConfigSlow      ID = 1009
 )
 
 // Events of peers: 1100 to 1199.
@@ -20,6 +24,9 @@
 	PeerUp       ID = 1100
 	PeerDown     ID = 1101
 	PeerBadFrame ID = 1102
+	PeerSilent   ID = 1103
+	WatcherBlind ID = 1104
+	WatcherSees  ID = 1105
 )
 
 // Events of replica groups: 1200 to 1299.
@@ -49,6 +56,7 @@
 	NodeStopped ID = 1403
 	StoreDown   ID = 1404
 	StoreUp     ID = 1405
+	DrainWaits  ID = 1406
 )
 
 // Level is the severity of an event.
@@ -76,9 +84,16 @@
 	{ConfigCommitted, Info, "configuration committed"},
 	{ConfigAccepted, Info, "configuration in force everywhere"},
 	{ConfigConflict, Warn, "configuration change lost a race"},
+	{ConfigUnsettled, Warn, "answer to a configuration change lost, reading its outcome back"},
+	{NodeRegistered, Info, "node added to the registry"},
+	{NodeRemoved, Warn, "node removed from the registry"},
+	{ConfigSlow, Warn, "configuration committed, not yet in force"},
 	{PeerUp, Info, "link to peer up"},
 	{PeerDown, Warn, "link to peer down"},
 	{PeerBadFrame, Warn, "malformed frame from peer, link closed"},
+	{PeerSilent, Warn, "peer does not answer"},
+	{WatcherBlind, Warn, "most hosts of a data centre unreachable from this node"},
+	{WatcherSees, Info, "hosts of a data centre reachable from this node again"},
 	{GroupWhole, Info, "replica group whole"},
 	{GroupBroken, Warn, "replica group not whole"},
 	{GroupFormed, Info, "replica group formed"},
@@ -96,6 +111,7 @@
 	{NodeStopped, Info, "node stopped"},
 	{StoreDown, Warn, "platform store does not answer"},
 	{StoreUp, Info, "platform store answers again"},
+	{DrainWaits, Warn, "graceful shutdown waits for claims to be stored"},
 }
 
 // Find returns the entry of an event.
