Commit, accept and keep fresh the configuration

The thin system read the head and nothing else: no change could be made, a platform outage stopped every node, and no node was registered.

A change is one transaction over head, document and audit row. A lost answer is settled by reading the head and the audit row of its version; when neither has the operation, the head is rewritten as it is, so that a write still on its way can no longer meet its condition, and only then is it tried again. The loser of a race is told who won and what changed. A conflict with a mere registry change or a rewrite is no race between operators and is repeated.

Acceptance needs one moment at which a blocking set of both registries knew the version: each member reported it by then and again since, in the same incarnation. Counting single reports was ruled out, because a node that restarts between its report and those of the others can catch up to the version before from a majority that does not know the new one. For the same reason the next version waits for a blocking set of both the registry of the present version and the one before: with the present one alone, five nodes that became six leave a majority of the five that knows nothing.

A node that is not registered is not waited for, so it does not serve.

Nodes register themselves, again 5 s after they were removed while running, and remove a node that no live node has reached for 60 s. Forgotten nodes count as having reported, on the operator's word.

22 specs over one to six nodes in virtual time pass, among them outages, cuts in one and both directions, restarts, pauses, races and lost answers.

--- a/pkg/core/configuration/configuration.go
+++ b/pkg/core/configuration/configuration.go
@@ -1,8 +1,9 @@
-// Package configuration keeps this node's copy of the configuration, its
-// freshness, and the commit of changes.
+// Package configuration keeps this node's copy of the configuration and its
+// freshness, commits changes, and keeps the registry of nodes.
 package configuration
 
 import (
+	"slices"
 	"time"
 
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
@@ -15,93 +16,140 @@
 	FreshFor = 2 * time.Second
 	// readPeriod is the period of reads of the head.
 	readPeriod = 500 * time.Millisecond
+	// collectAfter is the age of the evidence at which a node of a large
+	// registry asks all others. A random part of the same length spreads the
+	// nodes, so that the first ones to ask pass their evidence on to the rest.
+	collectAfter = 800 * time.Millisecond
 )
 
 // System reads Peers; it writes Config and the specification columns of
 // Accounts.
 type System struct {
-	t        *state.Tables
-	nextRead time.Duration
-	reading  uint64
-	sentAt   time.Duration
-	pending  state.Head
+	t     *state.Tables
+	peers *state.DirtySet[state.NodeID]
+
+	head     headReads
+	fetch    peerFetch
+	spread   spread
+	commits  commits
+	registry registry
+	majority []time.Duration
+
+	registered  bool
+	adoptedAt   time.Duration
+	collectFrom time.Duration
 }
 
 // New returns the configuration system.
-func New(t *state.Tables) *System { return &System{t: t} }
+func New(t *state.Tables) *System {
+	s := &System{t: t, peers: t.Peers.Subscribe()}
+	s.head.init()
+	s.spread.init(t.Self.ID)
+	s.collectFrom = collectAfter + s.jitter(collectAfter)
+	return s
+}
 
 // Step implements state.System.
 func (s *System) Step(now time.Duration, in state.Input, out *state.Outbox) {
 	switch in := in.(type) {
 	case state.Tick:
 		s.readHead(now, out)
+		s.fetchFromPeer(now, out)
+		s.watchRegistry(now)
 	case state.StoreReply:
-		if s.t.OwnsReply(name, in) && in.ID == s.reading {
-			s.headRead(in, out)
+		if s.t.OwnsReply(name, in) {
+			s.storeReplied(now, in, out)
 		}
+	case state.PeerMessage:
+		s.peerMessage(now, in, out)
+	case state.OperatorCommand:
+		s.enqueue(now, in, out)
 	}
+	if changed := s.peers.Take(); len(changed) > 0 {
+		s.peersChanged(now, changed)
+	}
+	s.judgeAcceptance(now, out)
+	s.advance(now, out)
+	s.answerOperators(now, out)
 	s.updateFresh(now, out)
 }
 
-func (s *System) readHead(now time.Duration, out *state.Outbox) {
-	if s.reading != 0 || now < s.nextRead {
+func (s *System) storeReplied(now time.Duration, reply state.StoreReply, out *state.Outbox) {
+	if s.head.owns(reply.ID) {
+		s.headReplied(now, reply, out)
 		return
 	}
-	s.nextRead = now + readPeriod
-	s.sentAt = now
-	s.reading = s.t.Store(out, name, state.StoreRequest{Read: []string{state.KeyHead}})
+	s.commitReplied(now, reply, out)
 }
 
-func (s *System) headRead(reply state.StoreReply, out *state.Outbox) {
-	s.reading = 0
-	if reply.Result != state.StoreOK || len(reply.Rows) == 0 {
-		return
-	}
-	if reply.Rows[0].Key != state.KeyHead {
-		s.documentRead(reply, out)
+// adopt replaces the copy by a later version. A lower or equal version is
+// ignored, however late its message arrives.
+func (s *System) adopt(now time.Duration, head state.Head, doc *state.Document, out *state.Outbox) {
+	c := &s.t.Config
+	if c.Known && head.Version <= c.Head.Version && !s.t.Switches.IgnoreVersionOrder {
 		return
 	}
-	var head state.Head
-	if state.Decode(reply.Rows[0].Value, &head) != nil {
-		return
+	c.PreviousNodes = previousNodes(head)
+	c.Head, c.Known = head, true
+	if doc != nil {
+		c.Document = *doc
 	}
-	if s.t.Config.Known && head.Version <= s.t.Config.Head.Version {
-		s.t.Config.EvidenceAt = s.sentAt
-		return
+	s.adoptedAt = now
+	s.registered = find(head.Nodes, s.t.Self.ID) != nil
+	s.spread.reset(now, head, c.PreviousNodes)
+	for id, p := range s.t.Peers.All() {
+		s.spread.report(now, id, p)
 	}
-	s.pending = head
-	s.reading = s.t.Store(out, name, state.StoreRequest{Read: []string{state.KeyDocument(head.DocumentVersion)}})
+	s.applyAccounts()
+	out.Log(event.ConfigLoaded, versionAttr(head.Version))
 }
 
-func (s *System) documentRead(reply state.StoreReply, out *state.Outbox) {
-	var doc state.Document
-	if state.Decode(reply.Rows[0].Value, &doc) != nil {
-		return
+// previousNodes returns the registry of the version before a head.
+func previousNodes(head state.Head) []state.NodeEntry {
+	if head.Joined == "" && head.Left == nil {
+		return head.Nodes
 	}
-	c := &s.t.Config
-	c.PreviousNodes = c.Head.Nodes
-	c.Head, c.Document, c.Known, c.EvidenceAt = s.pending, doc, true, s.sentAt
-	out.Log(event.ConfigLoaded)
-	for _, a := range doc.Accounts {
-		row := s.t.Accounts.Get(a.Name)
-		if row == nil {
-			row = &state.Account{ID: a.Name}
-		}
-		row.KeyHash, row.Weight, row.Concurrency = a.KeyHash, a.Weight, a.Concurrency
-		s.t.Accounts.Put(a.Name, row)
+	nodes := slices.DeleteFunc(slices.Clone(head.Nodes), func(n state.NodeEntry) bool { return n.ID == head.Joined })
+	if head.Left != nil {
+		nodes = insert(nodes, *head.Left)
+	}
+	return nodes
+}
+
+// evidence notes that no version newer than the copy was accepted at a time.
+func (s *System) evidence(at time.Duration) {
+	if at > s.t.Config.EvidenceAt {
+		s.t.Config.EvidenceAt = at
 	}
 }
 
 func (s *System) updateFresh(now time.Duration, out *state.Outbox) {
 	c := &s.t.Config
-	fresh := c.Known && c.EvidenceAt >= 0 && now-c.EvidenceAt < FreshFor
+	s.updateCollect(now)
+	// A node that is not registered is not waited for when a change is
+	// accepted, so that it may not send work either.
+	fresh := c.Known && c.CaughtUp && s.registered && c.EvidenceAt >= 0 && now-c.EvidenceAt < FreshFor
+	if s.t.Switches.IgnoreFreshness {
+		fresh = c.Known
+	}
 	if fresh == c.Fresh {
 		return
 	}
 	c.Fresh = fresh
 	if fresh {
-		out.Log(event.ConfigFresh)
+		out.Log(event.ConfigFresh, versionAttr(c.Head.Version))
 		return
 	}
-	out.Log(event.ConfigStale)
+	out.Log(event.ConfigStale, versionAttr(c.Head.Version))
+}
+
+func (s *System) updateCollect(now time.Duration) {
+	c := &s.t.Config
+	pending := c.Known && c.Accepted < c.Head.Version
+	c.Collect = !c.CaughtUp || now-c.EvidenceAt > s.collectFrom ||
+		pending && (s.commits.made == c.Head.Version || now-s.adoptedAt > FreshFor+s.collectFrom)
+}
+
+func (s *System) jitter(d time.Duration) time.Duration {
+	return time.Duration(s.t.Rand.Int64N(int64(d)))
 }
--- /dev/null
+++ b/pkg/core/configuration/diff.go
@@ -0,0 +1,69 @@
+package configuration
+
+import (
+	"bytes"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+)
+
+// maxDiffText bounds the text of a difference in an audit record, in bytes.
+const maxDiffText = 1024
+
+// diffDocuments names what differs between two documents, or returns "" when
+// nothing does. Contents stay out of the text: an account holds a key hash.
+func diffDocuments(before, after *state.Document) string {
+	var parts []string
+	parts = diffSpecs(parts, "account", before.Accounts, after.Accounts, func(a state.AccountSpec) string { return string(a.Name) })
+	parts = diffSpecs(parts, "data centre", before.DataCentres, after.DataCentres, func(d state.DataCentreSpec) string { return string(d.Name) })
+	parts = diffSpecs(parts, "model", before.Models, after.Models, func(m state.ModelSpec) string { return m.Name })
+	parts = diffSpecs(parts, "group", before.Groups, after.Groups, func(g state.GroupSpec) string { return string(g.Name) })
+	parts = diffSpecs(parts, "service", before.Services, after.Services, func(s state.ServiceSpec) string { return s.Name })
+	parts = diffSpecs(parts, "preset", before.Presets, after.Presets, func(p state.PresetSpec) string { return p.Name })
+	text := strings.Join(parts, ", ")
+	if len(text) > maxDiffText {
+		text = text[:maxDiffText] + " and more"
+	}
+	return text
+}
+
+// encodeSorted encodes a spec with its map keys in order, so that equal specs
+// are equal bytes. Specs are plain structs, which always encode.
+func encodeSorted(v any) []byte {
+	mode, err := cbor.CanonicalEncOptions().EncMode()
+	if err != nil {
+		return nil
+	}
+	b, err := mode.Marshal(v)
+	if err != nil {
+		return nil
+	}
+	return b
+}
+
+func diffSpecs[S any](parts []string, kind string, before, after []S, name func(S) string) []string {
+	old := make(map[string][]byte, len(before))
+	for _, s := range before {
+		old[name(s)] = encodeSorted(s)
+	}
+	kept := make(map[string]bool, len(after))
+	for _, s := range after {
+		n := name(s)
+		kept[n] = true
+		b, ok := old[n]
+		switch {
+		case !ok:
+			parts = append(parts, kind+" "+n+" added")
+		case !bytes.Equal(b, encodeSorted(s)):
+			parts = append(parts, kind+" "+n+" changed")
+		}
+	}
+	for _, s := range before {
+		if !kept[name(s)] {
+			parts = append(parts, kind+" "+name(s)+" removed")
+		}
+	}
+	return parts
+}
--- /dev/null
+++ b/pkg/core/controltest/cluster_test.go
@@ -0,0 +1,437 @@
+// Package controltest tests the configuration, membership and lifecycle systems
+// of several nodes together, in virtual time.
+package controltest
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/configuration"
+	"github.com/apricotgrade/apricotgrade/pkg/core/lifecycle"
+	"github.com/apricotgrade/apricotgrade/pkg/core/membership"
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	"github.com/apricotgrade/apricotgrade/pkg/event"
+	"github.com/apricotgrade/apricotgrade/pkg/platform/memory"
+)
+
+func TestControl(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "control systems")
+}
+
+const (
+	storeDelay = 5 * time.Millisecond
+	peerDelay  = 500 * time.Microsecond
+	linkPeriod = 200 * time.Millisecond
+	// linkTimeout is after how long a silent link is closed.
+	linkTimeout = 3 * time.Second
+)
+
+// cluster routes the outputs of the nodes to one another, to a store and to
+// hosts.
+type cluster struct {
+	now    time.Duration
+	seq    int
+	events events
+	store  *memory.Store
+	nodes  map[state.NodeID]*node
+	ids    []state.NodeID
+
+	storeDown bool
+	storeCut  map[state.NodeID]bool
+	// lose drops the answers of that many transactions that take effect; late
+	// delays the effect of that many, whose answers are lost at once.
+	lose, late int
+	storeDelay time.Duration
+	// cut drops what the first node sends to the second.
+	cut      map[[2]state.NodeID]time.Duration
+	peerLag  map[[2]state.NodeID]time.Duration
+	hosts    map[state.HostID]*fakeHost
+	listed   []state.ListedHost
+	commands uint64
+	replies  map[uint64]state.OperatorReply
+	// accepted is the highest version that any node holds to be accepted.
+	accepted   state.Version
+	violations []string
+	sent       map[state.NodeID][]state.Message
+	switches   state.Switches
+}
+
+type fakeHost struct {
+	answer state.ProbeAnswer
+	dead   bool
+	cut    map[state.NodeID]bool
+}
+
+type node struct {
+	c       *cluster
+	self    state.Self
+	t       *state.Tables
+	systems []state.System
+	alive   bool
+	paused  bool
+	held    []state.Input
+	start   time.Duration
+	wants   []state.NodeID
+	links   map[state.NodeID]bool
+	ready   bool
+	closed  bool
+	exited  bool
+	logs    []event.ID
+}
+
+type scheduled struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type events []scheduled
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(scheduled)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+func newCluster(nodes int) *cluster {
+	c := &cluster{
+		store: memory.New(), nodes: map[state.NodeID]*node{}, storeCut: map[state.NodeID]bool{},
+		storeDelay: storeDelay, cut: map[[2]state.NodeID]time.Duration{}, peerLag: map[[2]state.NodeID]time.Duration{},
+		hosts: map[state.HostID]*fakeHost{}, replies: map[uint64]state.OperatorReply{}, sent: map[state.NodeID][]state.Message{},
+	}
+	for i := range nodes {
+		c.ids = append(c.ids, state.NodeID(fmt.Sprintf("n%d", i+1)))
+	}
+	c.after(0, c.keepLinks)
+	return c
+}
+
+// started returns a cluster whose nodes are registered and fresh.
+func started(nodes int) *cluster {
+	c := newCluster(nodes)
+	c.seed(state.Document{
+		Accounts:    []state.AccountSpec{{Name: "shelf", Weight: 2, Concurrency: 8}, {Name: "fossil", Weight: 1}},
+		DataCentres: []state.DataCentreSpec{{Name: "north"}, {Name: "coast"}},
+		Presets: []state.PresetSpec{{Name: "ordinary"}, {
+			Name: "peak", Weights: []state.AccountValue{{Account: "shelf", Value: 5}},
+			Concurrency: []state.AccountValue{{Account: "shelf", Value: 3}},
+		}},
+	})
+	c.startAll()
+	c.run(8 * time.Second)
+	for _, id := range c.ids {
+		gomega.Expect(c.nodes[id].t.Config.Fresh).To(gomega.BeTrue(), "%s is fresh", id)
+		gomega.Expect(c.nodes[id].t.Config.Accepted).To(gomega.Equal(state.Version(nodes + 1)))
+	}
+	return c
+}
+
+func (c *cluster) seed(doc state.Document) {
+	head := state.Head{Version: 1, Op: "seed", Preset: "ordinary", DocumentVersion: 1}
+	_, err := c.store.Transact(context.Background(), state.Transaction{Writes: []state.Write{
+		{Key: state.KeyHead, Value: state.Encode(head)}, {Key: state.KeyDocument(1), Value: state.Encode(doc)},
+	}})
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+}
+
+func (c *cluster) startAll() {
+	for _, id := range c.ids {
+		c.startNode(id)
+	}
+}
+
+// startNode starts a node, or restarts it with nothing.
+func (c *cluster) startNode(id state.NodeID) *node {
+	incarnation := state.Incarnation(1)
+	if old := c.nodes[id]; old != nil {
+		c.kill(id)
+		incarnation = old.self.Incarnation + 1
+	}
+	i := slices.Index(c.ids, id)
+	n := &node{c: c, alive: true, links: map[state.NodeID]bool{}}
+	n.self = state.Self{
+		ID: id, DataCentre: []state.DataCentre{"north", "coast", "inland"}[i%3], Address: "addr-" + string(id),
+		Incarnation: incarnation, DrainNotice: 3 * time.Second,
+	}
+	// Clocks of nodes have nothing in common.
+	n.start = c.now - time.Duration(i)*17*time.Second
+	n.t = state.NewTables(n.self, c.switches, uint64(i)+7)
+	n.systems = []state.System{configuration.New(n.t), membership.New(n.t), lifecycle.New(n.t)}
+	c.nodes[id] = n
+	c.after(time.Duration(i)*3*time.Millisecond, n.tick)
+	return n
+}
+
+func (c *cluster) kill(id state.NodeID) {
+	c.nodes[id].alive = false
+	for _, other := range c.nodes {
+		if other.alive && other.links[id] {
+			c.linkDown(other, id)
+		}
+	}
+}
+
+func (c *cluster) after(d time.Duration, do func()) {
+	c.seq++
+	heap.Push(&c.events, scheduled{c.now + d, c.seq, do})
+}
+
+func (c *cluster) run(d time.Duration) {
+	until := c.now + d
+	for len(c.events) > 0 && c.events[0].at <= until {
+		e := heap.Pop(&c.events).(scheduled)
+		c.now = e.at
+		e.do()
+	}
+	c.now = until
+}
+
+// runUntil runs until a condition holds and returns how long that took.
+func (c *cluster) runUntil(limit time.Duration, cond func() bool) time.Duration {
+	from := c.now
+	for !cond() && c.now-from < limit {
+		c.run(10 * time.Millisecond)
+	}
+	gomega.ExpectWithOffset(1, cond()).To(gomega.BeTrue(), "condition within %s", limit)
+	return c.now - from
+}
+
+func (n *node) tick() {
+	if !n.alive {
+		return
+	}
+	n.feed(state.Tick{})
+	n.c.after(state.TickPeriod, n.tick)
+}
+
+func (n *node) clock() time.Duration { return n.c.now - n.start }
+
+// feed gives an input to a node. A paused node takes its inputs when it goes on.
+func (n *node) feed(in state.Input) {
+	if !n.alive || n.exited {
+		return
+	}
+	if n.paused {
+		if _, ok := in.(state.Tick); !ok {
+			n.held = append(n.held, in)
+		}
+		return
+	}
+	var out state.Outbox
+	for _, s := range n.systems {
+		s.Step(n.clock(), in, &out)
+	}
+	if reply, ok := in.(state.StoreReply); ok {
+		n.t.FinishReply(reply.ID)
+	}
+	for _, o := range out.Outputs {
+		n.c.carryOut(n, o)
+	}
+	n.c.check()
+}
+
+func (n *node) resume() {
+	n.paused = false
+	for _, in := range n.held {
+		n.feed(in)
+	}
+	n.held = nil
+}
+
+// check looks for the fault that the acceptance rule prevents: a node that
+// sends new work by a version older than one that was accepted.
+func (c *cluster) check() {
+	for _, n := range c.nodes {
+		c.accepted = max(c.accepted, n.t.Config.Accepted)
+	}
+	for id, n := range c.nodes {
+		conf := &n.t.Config
+		if n.alive && !n.paused && conf.Fresh && conf.Head.Version < c.accepted &&
+			n.clock()-conf.EvidenceAt < configuration.FreshFor {
+			c.violations = append(c.violations, fmt.Sprintf("at %s %s is fresh at version %d, accepted is %d",
+				c.now, id, conf.Head.Version, c.accepted))
+		}
+	}
+}
+
+func (c *cluster) carryOut(n *node, o state.Output) {
+	switch o := o.(type) {
+	case state.StoreRequest:
+		c.serve(n, o)
+	case state.SendPeer:
+		c.sent[n.self.ID] = append(c.sent[n.self.ID], o.Message)
+		if !n.links[o.To] || c.isCut(n.self.ID, o.To) {
+			return
+		}
+		to := c.nodes[o.To]
+		lag := peerDelay + c.peerLag[[2]state.NodeID{n.self.ID, o.To}]
+		c.after(lag, func() {
+			if n.alive && to.links[n.self.ID] {
+				to.feed(state.PeerMessage{From: n.self.ID, Message: o.Message})
+			}
+		})
+	case state.SetPeers:
+		n.wants = nil
+		for _, p := range o.Peers {
+			n.wants = append(n.wants, p.ID)
+		}
+	case state.Probe:
+		c.probe(n, o)
+	case state.FetchHosts:
+		if !c.storeDown && !c.storeCut[n.self.ID] && c.listed != nil {
+			c.after(storeDelay, func() { n.feed(state.HostList{Hosts: c.listed}) })
+		}
+	case state.OperatorReply:
+		c.replies[o.ID] = o
+	case state.SetReadiness:
+		n.ready = o.Ready
+	case state.StopAccepting:
+		n.closed = true
+	case state.ExitReady:
+		n.exited = true
+	case state.LogEvent:
+		n.logs = append(n.logs, o.Event)
+	}
+}
+
+func (c *cluster) serve(n *node, req state.StoreRequest) {
+	if c.storeDown || c.storeCut[n.self.ID] {
+		c.after(storeDelay, func() { n.feed(state.StoreReply{ID: req.ID, Result: state.StoreUnavailable}) })
+		return
+	}
+	if req.Transact != nil && c.late > 0 {
+		c.late--
+		c.after(storeDelay, func() { n.feed(state.StoreReply{ID: req.ID, Result: state.StoreUnknown}) })
+		c.after(300*time.Millisecond, func() { _, _ = c.store.Transact(context.Background(), *req.Transact) })
+		return
+	}
+	c.after(c.storeDelay/2, func() {
+		reply := state.StoreReply{ID: req.ID}
+		if req.Transact != nil {
+			res, _ := c.store.Transact(context.Background(), *req.Transact)
+			reply.Result, reply.Rows = res.Result, res.Rows
+			if c.lose > 0 && res.Result == state.StoreOK {
+				c.lose--
+				reply = state.StoreReply{ID: req.ID, Result: state.StoreUnknown}
+			}
+		} else {
+			reply.Rows, _ = c.store.Read(context.Background(), req.Read)
+		}
+		c.after(c.storeDelay/2, func() { n.feed(reply) })
+	})
+}
+
+func (c *cluster) probe(n *node, p state.Probe) {
+	h := c.hosts[p.Host]
+	if h == nil || h.dead || h.cut[n.self.ID] {
+		c.after(time.Second, func() { n.feed(state.ProbeResult{Host: p.Host, SentAt: p.SentAt}) })
+		return
+	}
+	answer := h.answer
+	if answer.Latency == 0 {
+		answer.Latency = time.Millisecond
+	}
+	c.after(answer.Latency, func() { n.feed(state.ProbeResult{Host: p.Host, SentAt: p.SentAt, OK: true, Answer: answer}) })
+}
+
+// keepLinks dials the links that are wanted and closes those that are silent.
+func (c *cluster) keepLinks() {
+	for i, a := range c.ids {
+		for _, b := range c.ids[i+1:] {
+			c.keepLink(c.nodes[a], c.nodes[b])
+		}
+	}
+	c.after(linkPeriod, c.keepLinks)
+}
+
+func (c *cluster) keepLink(a, b *node) {
+	if a == nil || b == nil || !a.alive || !b.alive {
+		return
+	}
+	ab, ba := [2]state.NodeID{a.self.ID, b.self.ID}, [2]state.NodeID{b.self.ID, a.self.ID}
+	cut := c.isCut(ab[0], ab[1]) || c.isCut(ba[0], ba[1])
+	if a.links[b.self.ID] {
+		if cut && c.now-max(c.cut[ab], c.cut[ba]) > linkTimeout {
+			c.linkDown(a, b.self.ID)
+			c.linkDown(b, a.self.ID)
+		}
+		return
+	}
+	if cut || a.paused || b.paused || !slices.Contains(a.wants, b.self.ID) && !slices.Contains(b.wants, a.self.ID) {
+		return
+	}
+	a.links[b.self.ID], b.links[a.self.ID] = true, true
+	a.feed(state.PeerLink{Peer: b.self.ID, Incarnation: b.self.Incarnation, Up: true})
+	b.feed(state.PeerLink{Peer: a.self.ID, Incarnation: a.self.Incarnation, Up: true})
+}
+
+func (c *cluster) linkDown(n *node, peer state.NodeID) {
+	n.links[peer] = false
+	n.feed(state.PeerLink{Peer: peer})
+}
+
+func (c *cluster) isCut(from, to state.NodeID) bool {
+	_, ok := c.cut[[2]state.NodeID{from, to}]
+	return ok
+}
+
+// cutOneWay drops what one node sends to another.
+func (c *cluster) cutOneWay(from, to state.NodeID) { c.cut[[2]state.NodeID{from, to}] = c.now }
+
+// split cuts the nodes given off from all others, in both directions.
+func (c *cluster) split(part ...state.NodeID) {
+	for _, a := range part {
+		for _, b := range c.ids {
+			if !slices.Contains(part, b) {
+				c.cutOneWay(a, b)
+				c.cutOneWay(b, a)
+			}
+		}
+	}
+}
+
+func (c *cluster) heal() { clear(c.cut) }
+
+// command gives an operator command to a node and returns its number.
+func (c *cluster) command(at state.NodeID, cmd state.OperatorCommand) uint64 {
+	c.commands++
+	cmd.ID = c.commands
+	if cmd.Operator == "" {
+		cmd.Operator = "op-" + string(at)
+	}
+	c.nodes[at].feed(cmd)
+	return cmd.ID
+}
+
+// answer runs until a command has its answer.
+func (c *cluster) answer(id uint64) state.OperatorReply {
+	c.runUntil(20*time.Second, func() bool { _, ok := c.replies[id]; return ok })
+	return c.replies[id]
+}
+
+func (c *cluster) fresh(ids ...state.NodeID) int {
+	count := 0
+	for _, id := range ids {
+		if c.nodes[id].alive && c.nodes[id].t.Config.Fresh {
+			count++
+		}
+	}
+	return count
+}
+
+func (c *cluster) version(id state.NodeID) state.Version { return c.nodes[id].t.Config.Head.Version }
--- /dev/null
+++ b/pkg/core/controltest/configuration_test.go
@@ -0,0 +1,370 @@
+package controltest
+
+import (
+	"context"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/apricotgrade/apricotgrade/pkg/apierror"
+	"github.com/apricotgrade/apricotgrade/pkg/core/configuration"
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+)
+
+var (
+	outNorth = state.OperatorCommand{Action: state.ActionOut, DataCentre: "north"}
+	peak     = state.OperatorCommand{Action: state.ActionPreset, Preset: "peak"}
+)
+
+var _ = ginkgo.Describe("configuration", func() {
+	ginkgo.AfterEach(func() {})
+
+	safe := func(c *cluster) {
+		gomega.ExpectWithOffset(1, c.violations).To(gomega.BeEmpty(), "work by a version older than the accepted one")
+	}
+
+	// Guards against a system that cannot start: without any head the nodes
+	// make the first version themselves.
+	ginkgo.It("makes the first configuration by registration", func() {
+		c := newCluster(3)
+		c.startAll()
+		c.run(6 * time.Second)
+		gomega.Expect(c.fresh(c.ids...)).To(gomega.Equal(3))
+		head := c.nodes["n1"].t.Config.Head
+		gomega.Expect(head.Nodes).To(gomega.HaveLen(3))
+		gomega.Expect(head.Version).To(gomega.Equal(state.Version(3)))
+		doc := state.Document{Presets: []state.PresetSpec{{Name: "ordinary"}}}
+		reply := c.answer(c.command("n2", state.OperatorCommand{Action: state.ActionApply, Document: &doc}))
+		gomega.Expect(reply.Accepted).To(gomega.BeTrue())
+		gomega.Expect(c.nodes["n3"].t.Config.Head.Preset).To(gomega.Equal("ordinary"))
+		safe(c)
+	})
+
+	// Guards against a change without a trace, and against one reported as in
+	// force while a node has not reported it.
+	ginkgo.It("commits a change with its audit row and reports it once all know it", func() {
+		c := started(6)
+		before := c.version("n1")
+		from := c.now
+		reply := c.answer(c.command("n1", outNorth))
+		gomega.Expect(reply.Error).To(gomega.BeNil())
+		gomega.Expect(reply.Accepted).To(gomega.BeTrue())
+		gomega.Expect(reply.Version).To(gomega.Equal(before + 1))
+		gomega.Expect(c.now - from).To(gomega.BeNumerically("<", 2*time.Second))
+		for _, id := range c.ids {
+			gomega.Expect(c.nodes[id].t.Config.Head.OutDataCentres).To(gomega.ConsistOf(state.DataCentre("north")))
+		}
+		rows, _ := c.store.Read(context.Background(), []string{state.KeyAudit(reply.Version)})
+		var rec state.AuditRecord
+		gomega.Expect(state.Decode(rows[0].Value, &rec)).To(gomega.Succeed())
+		gomega.Expect(rec.Operator).To(gomega.Equal("op-n1"))
+		gomega.Expect(rec.Action).To(gomega.Equal("out"))
+		gomega.Expect(rec.After).To(gomega.Equal("out: data centre north"))
+		safe(c)
+	})
+
+	// Guards against a preset that changes the name only.
+	ginkgo.It("applies weights and limits of the preset in force", func() {
+		c := started(2)
+		c.answer(c.command("n1", peak))
+		row := c.nodes["n2"].t.Accounts.Get("shelf")
+		gomega.Expect([]int{row.Weight, row.Concurrency}).To(gomega.Equal([]int{5, 3}))
+		c.answer(c.command("n1", state.OperatorCommand{Action: state.ActionPreset, Preset: "ordinary"}))
+		gomega.Expect([]int{row.Weight, row.Concurrency}).To(gomega.Equal([]int{2, 8}))
+	})
+
+	// Guards against commands that leave the configuration inconsistent.
+	ginkgo.It("refuses commands that name what is not declared", func() {
+		c := started(2)
+		for _, cmd := range []state.OperatorCommand{
+			{Action: state.ActionPreset, Preset: "night"},
+			{Action: state.ActionOut, DataCentre: "moon"},
+			{Action: state.ActionOut, Target: "g9"},
+			{Action: state.ActionOut},
+			{Action: state.ActionApply},
+			{Action: state.ActionApply, Document: &state.Document{}},
+			{Action: state.ActionForget, Node: "n7"},
+			{Action: state.ActionForget, Node: "n1"},
+		} {
+			reply := c.answer(c.command("n1", cmd))
+			gomega.Expect(reply.Error).NotTo(gomega.BeNil())
+			gomega.Expect(reply.Error.Outcome).To(gomega.Equal(apierror.NotRun))
+		}
+		gomega.Expect(c.version("n1")).To(gomega.Equal(state.Version(3)))
+	})
+
+	// Guards against two operators who each believe that their change counts.
+	ginkgo.It("tells the loser of a race who won and what changed", func() {
+		c := started(6)
+		a, b := c.command("n1", outNorth), c.command("n4", peak)
+		ra, rb := c.answer(a), c.answer(b)
+		if ra.Error != nil {
+			ra, rb = rb, ra
+		}
+		gomega.Expect(ra.Error).To(gomega.BeNil())
+		gomega.Expect(ra.Accepted).To(gomega.BeTrue())
+		gomega.Expect(rb.Error).NotTo(gomega.BeNil())
+		gomega.Expect(rb.Error.Kind).To(gomega.Equal(apierror.KindConflict))
+		gomega.Expect(rb.Error.Message).To(gomega.MatchRegexp(`op-n[14] changed the configuration first \(version 8, `))
+		safe(c)
+	})
+
+	// Guards against a plan made against a version that has been replaced, and
+	// against registry changes that refuse operators for nothing.
+	ginkgo.It("refuses a plan only when an operator changed something since", func() {
+		c := started(3)
+		base := c.version("n1")
+		c.startNode("n3")
+		c.run(4 * time.Second)
+		gomega.Expect(c.version("n1")).To(gomega.Equal(base + 1))
+		plan := peak
+		plan.Base = base
+		gomega.Expect(c.answer(c.command("n1", plan)).Accepted).To(gomega.BeTrue())
+		plan = outNorth
+		plan.Base = base
+		reply := c.answer(c.command("n1", plan))
+		gomega.Expect(reply.Error).NotTo(gomega.BeNil())
+		gomega.Expect(reply.Error.Code).To(gomega.Equal("lost_race"))
+	})
+
+	// Guards against a change that is repeated or disowned because the answer to
+	// its commit was lost.
+	ginkgo.It("settles a lost answer by the operation id", func() {
+		c := started(6)
+		before := c.version("n1")
+		c.lose = 1
+		reply := c.answer(c.command("n1", peak))
+		gomega.Expect(reply.Error).To(gomega.BeNil())
+		gomega.Expect(reply.Accepted).To(gomega.BeTrue())
+		gomega.Expect(reply.Version).To(gomega.Equal(before + 1))
+		c.run(2 * time.Second)
+		gomega.Expect(c.version("n1")).To(gomega.Equal(before + 1))
+	})
+
+	// Guards against a commit that takes effect after it was taken for lost.
+	ginkgo.It("fences a commit that is still on its way", func() {
+		c := started(6)
+		before := c.version("n1")
+		c.late = 1
+		reply := c.answer(c.command("n1", peak))
+		gomega.Expect(reply.Accepted).To(gomega.BeTrue())
+		c.run(2 * time.Second)
+		gomega.Expect(c.version("n1")).To(gomega.Equal(before + 1))
+	})
+
+	// Guards against an operator who waits for a platform that is down.
+	ginkgo.It("refuses a change while the platform is down, and goes on serving", func() {
+		c := started(6)
+		c.storeDown = true
+		c.run(10 * time.Second)
+		gomega.Expect(c.fresh(c.ids...)).To(gomega.Equal(6))
+		reply := c.answer(c.command("n1", peak))
+		gomega.Expect(reply.Error.Kind).To(gomega.Equal(apierror.KindStoreDown))
+		c.run(20 * time.Second)
+		gomega.Expect(c.fresh(c.ids...)).To(gomega.Equal(6))
+		c.startNode("n5")
+		gomega.Expect(c.runUntil(5*time.Second, func() bool { return c.fresh("n5") == 1 })).To(
+			gomega.BeNumerically("<", 4*time.Second))
+		safe(c)
+	})
+
+	// Guards against a stop of the service by a platform outage together with a
+	// dead node, and against service without a majority.
+	ginkgo.It("serves by a majority, and stops without one", func() {
+		c := started(6)
+		c.storeDown = true
+		c.kill("n6")
+		c.run(10 * time.Second)
+		gomega.Expect(c.fresh(c.ids[:5]...)).To(gomega.Equal(5))
+		c.kill("n5")
+		c.run(10 * time.Second)
+		gomega.Expect(c.fresh(c.ids[:4]...)).To(gomega.Equal(4))
+		c.kill("n4")
+		c.run(configuration.FreshFor + time.Second)
+		gomega.Expect(c.fresh(c.ids[:3]...)).To(gomega.BeZero())
+	})
+
+	// Guards against a node that goes on sending to what was taken out: it is
+	// cut off from everything, or in a data centre that is.
+	ginkgo.DescribeTable("stops a part that is cut off before a change counts as accepted",
+		func(part ...state.NodeID) {
+			c := started(6)
+			c.split(part...)
+			for _, id := range part {
+				c.storeCut[id] = true
+			}
+			reply := c.answer(c.command("n1", outNorth))
+			gomega.Expect(reply.Error).To(gomega.BeNil())
+			gomega.Expect(reply.Accepted).To(gomega.BeTrue())
+			gomega.Expect(c.fresh(part...)).To(gomega.BeZero())
+			gomega.Expect(c.fresh("n1", "n2", "n3", "n4")).To(gomega.Equal(4))
+			safe(c)
+			c.heal()
+			clear(c.storeCut)
+			c.run(5 * time.Second)
+			gomega.Expect(c.fresh(c.ids...)).To(gomega.Equal(6))
+			safe(c)
+		},
+		ginkgo.Entry("one node", state.NodeID("n6")),
+		ginkgo.Entry("a data centre of two nodes", state.NodeID("n5"), state.NodeID("n6")),
+	)
+
+	// Shows that the rule is what prevents it.
+	ginkgo.It("would send by the old version without the freshness rule", func() {
+		c := started(6)
+		for _, n := range c.nodes {
+			n.t.Switches.IgnoreFreshness = true
+		}
+		c.split("n6")
+		c.storeCut["n6"] = true
+		c.answer(c.command("n1", outNorth))
+		gomega.Expect(c.nodes["n6"].t.Config.Fresh).To(gomega.BeTrue())
+		gomega.Expect(c.version("n6")).To(gomega.BeNumerically("<", c.accepted))
+	})
+
+	// Guards against a minority that alone sees the platform: it may commit what
+	// half of the nodes know, and nothing on top of that.
+	ginkgo.It("keeps a minority that alone sees the platform from running ahead", func() {
+		c := started(6)
+		c.split("n1", "n2")
+		for _, id := range c.ids[2:] {
+			c.storeCut[id] = true
+		}
+		first := c.command("n1", outNorth)
+		reply := c.answer(first)
+		gomega.Expect(reply.Accepted).To(gomega.BeFalse())
+		gomega.Expect(reply.Missing).To(gomega.ConsistOf(state.NodeID("n3"), state.NodeID("n4"), state.NodeID("n5"), state.NodeID("n6")))
+		reply = c.answer(c.command("n1", peak))
+		gomega.Expect(reply.Error.Code).To(gomega.Equal("version_not_known"))
+		gomega.Expect(c.fresh(c.ids[2:]...)).To(gomega.Equal(4), "the majority serves by the version in force")
+		safe(c)
+		c.heal()
+		c.run(5 * time.Second)
+		for _, id := range c.ids {
+			gomega.Expect(c.nodes[id].t.Config.Head.OutDataCentres).To(gomega.HaveLen(1))
+		}
+		safe(c)
+	})
+
+	// Guards against a node that comes back with nothing and serves by what it
+	// hears first.
+	ginkgo.It("lets a node that restarted with nothing serve only once a majority agrees", func() {
+		c := started(6)
+		c.storeDown = true
+		n := c.startNode("n2")
+		c.split("n2")
+		c.run(10 * time.Second)
+		gomega.Expect(n.t.Config.Fresh).To(gomega.BeFalse())
+		c.heal()
+		for _, id := range []state.NodeID{"n4", "n5", "n6"} {
+			c.cutOneWay(id, "n2")
+		}
+		c.run(10 * time.Second)
+		gomega.Expect(n.t.Config.Known).To(gomega.BeTrue())
+		gomega.Expect(n.t.Config.CaughtUp).To(gomega.BeFalse())
+		gomega.Expect(n.t.Config.Fresh).To(gomega.BeFalse())
+		c.heal()
+		c.run(3 * time.Second)
+		gomega.Expect(n.t.Config.Fresh).To(gomega.BeTrue())
+		safe(c)
+	})
+
+	// Guards against a configuration that reverts when an old message arrives.
+	ginkgo.It("ignores a copy that arrives late, and would revert without the rule", func() {
+		c := started(3)
+		old := c.nodes["n1"].t.Config
+		c.answer(c.command("n1", outNorth))
+		late := state.PeerMessage{From: "n1", Message: state.Message{ConfigDocument: &state.ConfigDocument{
+			Head: old.Head, Document: &old.Document,
+		}}}
+		c.nodes["n2"].feed(late)
+		gomega.Expect(c.nodes["n2"].t.Config.Head.OutDataCentres).To(gomega.HaveLen(1))
+		c.nodes["n2"].t.Switches.IgnoreVersionOrder = true
+		c.nodes["n2"].feed(late)
+		gomega.Expect(c.nodes["n2"].t.Config.Head.OutDataCentres).To(gomega.BeEmpty())
+	})
+
+	// Guards against evidence that is dated by its arrival: a reply that was
+	// held up is no younger than its request.
+	ginkgo.It("dates evidence by the send time however late it arrives", func() {
+		c := started(2)
+		c.storeDown = true
+		c.peerLag[[2]state.NodeID{"n1", "n2"}] = 5 * time.Second
+		c.run(8 * time.Second)
+		gomega.Expect(c.fresh("n2")).To(gomega.BeZero())
+		safe(c)
+	})
+
+	// Guards against gaps in the evidence when the store is slow.
+	ginkgo.It("stays fresh by head reads that take 1.2 s", func() {
+		c := started(1)
+		c.storeDelay = 1200 * time.Millisecond
+		c.run(3 * time.Second)
+		for range 100 {
+			c.run(100 * time.Millisecond)
+			gomega.Expect(c.fresh("n1")).To(gomega.Equal(1))
+		}
+	})
+
+	// Guards against a one-way cut that stops a node, or hides a change from it:
+	// evidence reaches it through the others.
+	ginkgo.It("passes evidence around one-way cuts", func() {
+		c := started(6)
+		c.storeDown = true
+		for _, id := range []state.NodeID{"n2", "n3", "n4", "n5"} {
+			c.cutOneWay("n1", id)
+		}
+		c.run(10 * time.Second)
+		gomega.Expect(c.fresh("n1")).To(gomega.Equal(1), "n6 passes the evidence of the others on")
+		safe(c)
+	})
+
+	// Guards against a paused node that goes on by what it knew.
+	ginkgo.It("keeps a node that was paused from sending by an old version", func() {
+		c := started(6)
+		c.nodes["n3"].paused = true
+		gomega.Expect(c.answer(c.command("n1", outNorth)).Accepted).To(gomega.BeTrue())
+		c.run(time.Second)
+		c.nodes["n3"].resume()
+		c.run(3 * time.Second)
+		safe(c)
+		gomega.Expect(c.fresh("n3")).To(gomega.Equal(1))
+		gomega.Expect(c.version("n3")).To(gomega.Equal(c.version("n1")))
+	})
+
+	// Guards against dead nodes that stay in majorities for ever, and against
+	// the removal of a node that some others still reach.
+	ginkgo.It("removes a node that no other reaches for 60 s", func() {
+		c := started(6)
+		c.kill("n6")
+		c.cutOneWay("n5", "n1")
+		c.run(55 * time.Second)
+		gomega.Expect(c.nodes["n1"].t.Config.Head.Nodes).To(gomega.HaveLen(6))
+		c.run(20 * time.Second)
+		gomega.Expect(c.nodes["n1"].t.Config.Head.Nodes).To(gomega.HaveLen(5))
+		gomega.Expect(c.nodes["n1"].t.Config.Head.Nodes[4].ID).To(gomega.Equal(state.NodeID("n5")))
+		c.startNode("n6")
+		c.run(5 * time.Second)
+		gomega.Expect(c.fresh("n6")).To(gomega.Equal(1))
+		safe(c)
+	})
+
+	// Guards against a system that can change nothing any more because most of
+	// its nodes are gone for good.
+	ginkgo.It("goes on after operators forget nodes when fewer than a blocking set are left", func() {
+		c := started(6)
+		for _, id := range c.ids[1:] {
+			c.kill(id)
+		}
+		c.run(3 * time.Second)
+		c.answer(c.command("n1", peak))
+		gomega.Expect(c.answer(c.command("n1", outNorth)).Error.Code).To(gomega.Equal("version_not_known"))
+		var last uint64
+		for _, id := range c.ids[1:] {
+			last = c.command("n1", state.OperatorCommand{Action: state.ActionForget, Node: id})
+		}
+		gomega.Expect(c.answer(last).Error).To(gomega.BeNil())
+		gomega.Expect(c.answer(c.command("n1", outNorth)).Accepted).To(gomega.BeTrue())
+	})
+})
