Hold one placement lease per data centre and place groups under it

The thin placement formed groups without an owner: every node wrote group rows, nothing repaired, moved or dissolved them, and orders were repeated each second.

One node per data centre now holds the lease row by a conditional write. It renews it each second, acts only until 4.5 s after the send time of its last successful renewal, and every transaction over group and host rows carries the lease row as a condition and renews it. Candidates are ranked (nodes of the data centre first, then rendezvous order) and keep apart in time. Lost answers are settled by reading the operation id back.

The holder forms, repairs, moves, reloads, abandons and dissolves groups by one transaction each with a new fencing number, orders engines, waits out the orders of a former holder where engines ignore the number, and paces loads by the weight store's rate.

Ruled out: renewing the lease beside transactions in flight, because each renewal changes the revision that the transaction needs; one request of a data centre is in flight at a time instead, and a group change is a renewal too. Ruled out: scans by every node each second, which 320 nodes cannot afford; only the first candidates look at the leases each second, and group rows are passed on to linked peers with their revision and scanned at a period that grows with the number of nodes.

A group may wait although enough hosts are free over several domains: hosts are not moved between groups that serve.

--- /dev/null
+++ b/pkg/core/placement/change.go
@@ -0,0 +1,150 @@
+package placement
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	"github.com/apricotgrade/apricotgrade/pkg/event"
+)
+
+// fenceBits is the number of bits of a fencing number that count within one
+// tenure of a lease. The fencing number of the lease is above them, so that
+// every number of a holder is higher than all numbers of former holders. 20 bits
+// keep the numbers below 2^53, which JSON readers in other languages can hold.
+const fenceBits = 20
+
+// change is one transaction over a group and its hosts.
+type change struct {
+	event event.ID
+	group state.GroupID
+	row   state.GroupRow
+	// hosts are the rows to write, in order.
+	hosts []hostChange
+	// drain is set when running requests may end before the engines are
+	// ordered.
+	drain bool
+	op    state.OpID
+}
+
+type hostChange struct {
+	id    state.HostID
+	group state.GroupID
+}
+
+// keys returns the keys of the rows that the change writes, but for the lease.
+func (ch *change) keys() []string {
+	keys := []string{state.KeyGroup(ch.group)}
+	for _, h := range ch.hosts {
+		keys = append(keys, state.KeyHost(h.id))
+	}
+	return keys
+}
+
+// nextFence returns a fencing number above all that the rows and the engines of
+// a change hold.
+func (s *System) nextFence(c *centre, ch *change) state.Fence {
+	c.tenure.count++
+	fence := state.Fence(uint64(c.tenure.fence)<<fenceBits + c.tenure.count)
+	if g := s.groups[ch.group]; g != nil {
+		fence = max(fence, g.row.Fence+1, g.renumber+1)
+	}
+	for _, h := range ch.hosts {
+		known := s.host(h.id)
+		fence = max(fence, known.row.Fence+1, known.floor+1)
+	}
+	return fence
+}
+
+// setMembers fills in the rows of a change that gives a group new members.
+// Members that leave are freed; those that stay get the new number too, because
+// they load together with the new ones.
+func (ch *change) setMembers(former, members []state.HostID) {
+	ch.row.Members = members
+	ch.hosts = nil
+	for _, m := range members {
+		ch.hosts = append(ch.hosts, hostChange{m, ch.group})
+	}
+	for _, m := range former {
+		if !slices.Contains(members, m) {
+			ch.hosts = append(ch.hosts, hostChange{id: m})
+		}
+	}
+}
+
+// commit sends the transaction of a change. It has the lease row as a condition
+// and renews the lease, because both change the revision of the lease row.
+func (s *System) commit(now time.Duration, c *centre, ch *change, out *state.Outbox) {
+	ch.op = s.t.NewOp()
+	ch.row.Op = ch.op
+	ch.row.DataCentre = c.dc
+	if len(ch.hosts) > 0 {
+		ch.row.Fence = s.nextFence(c, ch)
+	}
+	tx := &state.Transaction{}
+	if !s.t.Switches.IgnoreFencing {
+		lease := s.nextLease(c, callRenew)
+		c.remember(now, lease.Op)
+		c.nextRenew = now + renewPeriod
+		tx.Conditions = append(tx.Conditions, state.Condition{Key: state.KeyLease(c.dc), Revision: c.lease.Revision})
+		tx.Writes = append(tx.Writes, state.Write{Key: state.KeyLease(c.dc), Value: state.Encode(lease)})
+	}
+	key := state.KeyGroup(ch.group)
+	tx.Conditions = append(tx.Conditions, state.Condition{Key: key, Revision: s.group(ch.group).revision})
+	tx.Writes = append(tx.Writes, state.Write{Key: key, Value: state.Encode(ch.row)})
+	for _, h := range ch.hosts {
+		key := state.KeyHost(h.id)
+		if !s.t.Switches.IgnoreHostRows {
+			tx.Conditions = append(tx.Conditions, state.Condition{Key: key, Revision: s.host(h.id).revision})
+		}
+		value := state.Encode(state.HostRow{Group: h.group, Fence: ch.row.Fence, Op: ch.op})
+		tx.Writes = append(tx.Writes, state.Write{Key: key, Value: value})
+	}
+	c.call = call{kind: callChange, sentAt: now, change: ch}
+	c.call.id = s.t.Store(out, name, state.StoreRequest{Transact: tx})
+}
+
+// changeSettled is called when the rows of a change are known again. The change
+// took effect if the group row carries its operation id.
+func (s *System) changeSettled(now time.Duration, c *centre, ch *change, out *state.Outbox) {
+	g := s.group(ch.group)
+	if c.tenure != nil {
+		c.tenure.nextPlan = now
+	}
+	if g.row.Op != ch.op {
+		return
+	}
+	out.Log(ch.event, slog.String("group", string(ch.group)), slog.String("data_centre", string(c.dc)),
+		slog.String("domain", string(g.row.Domain)), slog.Uint64("fence", uint64(g.row.Fence)))
+	s.announce(ch.group, "", out)
+	if c.tenure == nil {
+		return
+	}
+	c.tenure.nextOrder = now
+	if ch.event != event.GroupServing {
+		delete(c.tenure.admitted, ch.group)
+		delete(c.tenure.waiting, ch.group)
+	}
+	for _, hc := range ch.hosts {
+		h := s.host(hc.id)
+		h.drainUntil = 0
+		if hc.group == "" {
+			c.tenure.unloading[hc.id] = struct{}{}
+			if ch.drain {
+				h.drainUntil = now + drainFor
+			}
+		}
+	}
+	if ch.drain {
+		g.drainUntil = now + drainFor
+	}
+}
+
+// freshRow returns the row of a group as its specification asks for it.
+func freshRow(spec *state.GroupSpec, domain state.DomainID) state.GroupRow {
+	return state.GroupRow{
+		Domain: domain, Phase: state.GroupLoading, Order: state.OrderLoad,
+		Model: spec.Model, Version: spec.Version, Adapters: spec.Adapters, Role: spec.Role,
+	}
+}
--- /dev/null
+++ b/pkg/core/placement/fit_test.go
@@ -0,0 +1,80 @@
+package placement
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+)
+
+// firstFit is the simplest baseline: the first domain with enough hosts.
+func firstFit(domains []domainHosts, need int) int {
+	return slices.IndexFunc(domains, func(d domainHosts) bool { return len(d.hosts) >= need })
+}
+
+// stranded places groups in order and returns the hosts of groups without a
+// place, as far as enough free hosts are left over in all domains together.
+func stranded(domains []domainHosts, needs []int, fit func([]domainHosts, int) int) int {
+	domains = slices.Clone(domains)
+	free, missing := 0, 0
+	for _, n := range needs {
+		if i := fit(domains, n); i >= 0 {
+			domains[i].hosts = domains[i].hosts[n:]
+		} else {
+			missing += n
+		}
+	}
+	for _, d := range domains {
+		free += len(d.hosts)
+	}
+	return min(free, missing)
+}
+
+// TestStrandedAccelerators guards against a fit that strands more accelerators
+// than the simplest one. It prints the measured means. Sizes that divide each
+// other pack alike in any domain once the largest go first; other sizes do not.
+func TestStrandedAccelerators(t *testing.T) {
+	compareFits(t, "sizes that divide each other", []int{1, 2, 2, 4, 4, 8, 16})
+	compareFits(t, "all sizes", []int{1, 2, 3, 4, 5, 6, 7, 8, 10, 12, 16})
+}
+
+func compareFits(t *testing.T, name string, sizes []int) {
+	const (
+		seed         = 20260312
+		declarations = 2000
+		perHost      = 8
+	)
+	random := rand.New(rand.NewPCG(seed, 0))
+	var hosts, declared, first, best int
+	for range declarations {
+		domains := make([]domainHosts, 4+random.IntN(8))
+		total := 0
+		for i := range domains {
+			domains[i].hosts = make([]state.HostID, 8+random.IntN(25))
+			total += len(domains[i].hosts)
+		}
+		var needs []int
+		for sum := 0; ; {
+			n := sizes[random.IntN(len(sizes))]
+			if sum += n; sum > total {
+				break
+			}
+			needs = append(needs, n)
+		}
+		hosts += total
+		declared += stranded(domains, needs, firstFit)
+		slices.SortFunc(needs, func(a, b int) int { return cmp.Compare(b, a) })
+		first += stranded(domains, needs, firstFit)
+		best += stranded(domains, needs, bestFit)
+	}
+	mean := func(n int) string { return fmt.Sprintf("%.2f", float64(n*perHost)/declarations) }
+	t.Logf("%s: seed %d, %d declarations, mean of %d accelerators, %d a host; stranded: first fit in declared order %s, "+
+		"first fit largest first %s, best fit largest first %s",
+		name, seed, declarations, hosts*perHost/declarations, perHost, mean(declared), mean(first), mean(best))
+	if best > first || first > declared {
+		t.Errorf("%s: best fit strands %d hosts, first fit %d, first fit in declared order %d", name, best, first, declared)
+	}
+}
--- /dev/null
+++ b/pkg/core/placement/group_test.go
@@ -0,0 +1,303 @@
+package placement_test
+
+import (
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	"github.com/apricotgrade/apricotgrade/pkg/event"
+)
+
+// isChange tells the transactions over groups from mere renewals.
+func isChange(req state.StoreRequest) bool {
+	return req.Transact != nil && len(req.Transact.Writes) > 2
+}
+
+var _ = Describe("replica groups", func() {
+	var r *rig
+	BeforeEach(func() {
+		r = newRig(append(entries("north", "n1", "n2", "n3"), entries("coast", "c1")...)...)
+	})
+	AfterEach(func() { r.expectOneGroupPerHost() })
+
+	// two forms two groups of three, one of them in domain b with one spare and
+	// the other in domain a with four.
+	two := func() {
+		r.addHosts("north", "a", 7)
+		r.addHosts("north", "b", 4)
+		r.configure(document(spec("g1", "north", 3), spec("g2", "north", 3)))
+		r.until(20*time.Second, "serving", func() bool { return r.serving("g1", "g2") })
+	}
+
+	It("are formed largest first in the domain that they fill best", func() {
+		// Guards against small groups that break up the domain a large one
+		// needs.
+		r.addHosts("north", "a", 4)
+		r.addHosts("north", "b", 6)
+		r.addHosts("north", "c", 3)
+		r.configure(document(spec("s1", "north", 2), spec("s2", "north", 3), spec("s3", "north", 4), spec("s4", "north", 4)))
+		r.until(20*time.Second, "serving", func() bool { return r.serving("s1", "s2", "s3", "s4") })
+		Expect(r.group("s3").Domain).To(BeEquivalentTo("a"))
+		Expect(r.group("s4").Domain).To(BeEquivalentTo("b"))
+		Expect(r.group("s2").Domain).To(BeEquivalentTo("c"))
+		Expect(r.group("s1").Domain).To(BeEquivalentTo("b"))
+	})
+
+	It("share hosts when the host rows are ignored", func() {
+		// Shows what the host rows prevent: a host in two groups (I2).
+		for _, n := range r.nodes {
+			n.t.Switches.IgnoreHostRows = true
+		}
+		r.addHosts("north", "a", 6)
+		r.configure(document(spec("g1", "north", 3), spec("g2", "north", 3)))
+		r.run(10 * time.Second)
+		Expect(r.sharedHosts()).NotTo(BeEmpty())
+		r = newRig(entries("north", "n1")...)
+	})
+
+	It("are known to all nodes without a scan of each", func() {
+		// Guards against nodes that route to the former members for as long as
+		// the period of scans.
+		two()
+		r.kill(r.group("g1").Members[0])
+		fence := r.group("g1").Fence
+		r.until(10*time.Second, "repaired", func() bool { return r.group("g1").Fence > fence })
+		r.run(100 * time.Millisecond)
+		for _, n := range r.nodes {
+			Expect(n.t.Groups.Get("g1").Fence).To(Equal(r.group("g1").Fence))
+		}
+	})
+
+	It("get a spare of their domain for a dead member", func() {
+		// Guards against a group that stays down though a spare is there, and
+		// against a repair that replaces more than the dead member.
+		two()
+		before := r.group("g1")
+		r.kill(before.Members[1])
+		down := r.until(20*time.Second, "serving again", func() bool {
+			return r.serving("g1") && r.group("g1").Fence > before.Fence
+		})
+		// Detection takes 3 s, the load 2 s.
+		Expect(down).To(BeNumerically("<", 6500*time.Millisecond))
+		after := r.group("g1")
+		Expect(after.Domain).To(Equal(before.Domain))
+		Expect(after.Members[0]).To(Equal(before.Members[0]))
+		Expect(after.Members[2]).To(Equal(before.Members[2]))
+		Expect(after.Members[1]).NotTo(Equal(before.Members[1]))
+		Expect(r.count(event.GroupMended)).To(Equal(1))
+	})
+
+	It("are repaired again when the spare dies too", func() {
+		// Guards against a repair that holds for done what died while loading.
+		r.addHosts("north", "a", 5)
+		r.configure(document(spec("g1", "north", 3)))
+		r.until(20*time.Second, "serving", func() bool { return r.serving("g1") })
+		r.kill(r.group("g1").Members[0])
+		first := r.group("g1").Fence
+		r.until(10*time.Second, "repaired", func() bool { return r.group("g1").Fence > first })
+		second := r.group("g1").Fence
+		r.kill(r.group("g1").Members[0])
+		r.until(20*time.Second, "repaired twice", func() bool { return r.group("g1").Fence > second && r.serving("g1") })
+	})
+
+	It("load again when a member dies and comes back before it is replaced", func() {
+		// Guards against a group that is never whole again because one member
+		// has lost its weights, and against abandonment counted over two deaths.
+		r.addHosts("north", "a", 3)
+		r.configure(document(spec("g1", "north", 3)))
+		r.until(20*time.Second, "serving", func() bool { return r.serving("g1") })
+		m := r.group("g1").Members[1]
+		for range 2 {
+			fence := r.group("g1").Fence
+			r.kill(m)
+			r.run(40 * time.Second)
+			Expect(r.group("g1").Fence).To(Equal(fence))
+			r.restart(m)
+			r.until(20*time.Second, "loaded again", func() bool { return r.group("g1").Fence > fence && r.serving("g1") })
+		}
+		Expect(r.count(event.GroupGivenUp)).To(BeZero())
+		Expect(r.group("g1").Members).To(ContainElement(m))
+	})
+
+	It("do not get a spare that is leaving or does not answer", func() {
+		// Guards against a repair with a host that goes away next.
+		r.addHosts("north", "a", 6)
+		r.configure(document(spec("g1", "north", 3)))
+		r.until(20*time.Second, "serving", func() bool { return r.serving("g1") })
+		var spares []state.HostID
+		for _, h := range r.list {
+			if !slices.Contains(r.group("g1").Members, h.ID) {
+				spares = append(spares, h.ID)
+			}
+		}
+		r.setLeaving(spares[0])
+		r.kill(spares[1])
+		r.kill(r.group("g1").Members[0])
+		r.until(20*time.Second, "repaired", func() bool { return r.count(event.GroupMended) == 1 && r.serving("g1") })
+		Expect(r.group("g1").Members).To(ContainElement(spares[2]))
+	})
+
+	It("replace a member that is leaving before it goes", func() {
+		// Guards against downtime of detection and load for a planned restart.
+		two()
+		r.setLeaving(r.group("g1").Members[2])
+		r.until(40*time.Second, "replaced", func() bool { return r.count(event.GroupMended) == 1 && r.serving("g1") })
+	})
+
+	It("move when their fabric domain goes dark, the largest first", func() {
+		// Guards against groups that wait for a domain that is gone while
+		// another one fits, and against a part of a group in two domains.
+		r.addHosts("north", "a", 7)
+		r.configure(document(spec("g1", "north", 3), spec("g2", "north", 4)))
+		r.until(20*time.Second, "serving", func() bool { return r.serving("g1", "g2") })
+		r.addHosts("north", "b", 5)
+		r.run(time.Second)
+		r.kill(r.ids[:7]...)
+		r.until(20*time.Second, "moved", func() bool { return r.group("g2").Domain == "b" && r.serving("g2") })
+		Expect(r.group("g1").Domain).To(BeEquivalentTo("a"))
+		r.addHosts("north", "c", 3)
+		r.until(20*time.Second, "moved", func() bool { return r.group("g1").Domain == "c" && r.serving("g1") })
+	})
+
+	It("are abandoned after 60 s and keep their hosts until another group waits", func() {
+		// Guards against hosts that are held by a group that cannot serve while
+		// another group needs them, and against groups that are torn apart for
+		// nobody.
+		r.addHosts("north", "a", 4)
+		r.configure(document(spec("g1", "north", 4)))
+		r.until(20*time.Second, "serving", func() bool { return r.serving("g1") })
+		r.kill(r.group("g1").Members[3])
+		r.run(55 * time.Second)
+		Expect(r.count(event.GroupGivenUp)).To(BeZero())
+		r.run(20 * time.Second)
+		Expect(r.count(event.GroupGivenUp)).To(Equal(1))
+		Expect(r.group("g1").Members).To(HaveLen(4))
+		r.configure(document(spec("g1", "north", 4), spec("g2", "north", 3)))
+		r.until(20*time.Second, "second group", func() bool { return r.serving("g2") })
+		Expect(r.group("g1").Phase).To(Equal(state.GroupPending))
+		r.addHosts("north", "b", 4)
+		r.until(20*time.Second, "first group again", func() bool { return r.serving("g1") })
+	})
+
+	It("keep one of two broken groups alive with the hosts of the other", func() {
+		// Guards against two broken groups that wait for each other's hosts.
+		r.addHosts("north", "a", 6)
+		r.configure(document(spec("g1", "north", 3), spec("g2", "north", 3)))
+		r.until(20*time.Second, "serving", func() bool { return r.serving("g1", "g2") })
+		r.kill(r.group("g1").Members[0], r.group("g2").Members[0])
+		r.until(90*time.Second, "one of them", func() bool {
+			return r.count(event.GroupFreed) == 1 && r.count(event.GroupMended) == 1 && (r.serving("g1") || r.serving("g2"))
+		})
+		r.run(2 * time.Minute)
+		Expect(r.count(event.GroupFreed)).To(Equal(1))
+	})
+
+	It("do not change while evidence is missing", func() {
+		// Guards against the repair of groups that live because the watchers
+		// are cut off.
+		two()
+		r.evidence = false
+		r.kill(r.ids[:5]...)
+		before := []state.GroupRow{r.group("g1"), r.group("g2")}
+		r.run(5 * time.Minute)
+		Expect([]state.GroupRow{r.group("g1"), r.group("g2")}).To(Equal(before))
+	})
+
+	It("do not change while the configuration is not fresh", func() {
+		// Guards against changes by a declaration that is no longer in force.
+		two()
+		for _, n := range r.nodes {
+			n.t.Config.Fresh = false
+		}
+		fence := r.group("g1").Fence
+		r.kill(r.group("g1").Members[0])
+		r.run(30 * time.Second)
+		Expect(r.group("g1").Fence).To(Equal(fence))
+	})
+
+	It("keep their hosts while their data centre is out", func() {
+		// Guards against groups that are moved or abandoned during planned work
+		// on a data centre.
+		two()
+		r.head.OutDataCentres = []state.DataCentre{"north"}
+		r.configure(document(spec("g1", "north", 3), spec("g2", "north", 3), spec("g3", "north", 6)))
+		before := r.group("g1")
+		r.kill(before.Members...)
+		r.run(5 * time.Minute)
+		Expect(r.group("g1")).To(Equal(before))
+		r.head.OutDataCentres = nil
+		r.configure(r.doc)
+		r.until(20*time.Second, "moved", func() bool { return r.group("g1").Domain != before.Domain && r.serving("g1") })
+	})
+
+	It("are dissolved when their declaration is gone, and their engines unload", func() {
+		// Guards against hosts that stay taken by a group nobody wants.
+		two()
+		members := r.group("g1").Members
+		r.configure(document(spec("g2", "north", 3)))
+		r.until(60*time.Second, "unloaded", func() bool {
+			return !slices.ContainsFunc(members, func(m state.HostID) bool {
+				return r.engines[m].answer.Phase != state.PhaseEmpty
+			})
+		})
+		Expect(r.count(event.GroupDissolved)).To(Equal(1))
+		Expect(r.group("g2").Phase).To(Equal(state.GroupServing))
+		for _, n := range r.nodes {
+			Expect(n.t.Groups.Get("g1")).To(BeNil())
+		}
+		r.configure(document(spec("g1", "north", 3), spec("g2", "north", 3)))
+		r.until(20*time.Second, "formed again", func() bool { return r.serving("g1") })
+	})
+
+	It("move to another data centre when their declaration does", func() {
+		// Guards against a group that two holders own.
+		two()
+		r.addHosts("coast", "x", 3)
+		r.configure(document(spec("g1", "coast", 3), spec("g2", "north", 3)))
+		r.until(60*time.Second, "moved", func() bool { return r.group("g1").DataCentre == "coast" && r.serving("g1") })
+		Expect(r.holder("coast").id).To(BeEquivalentTo("c1"))
+		Expect(r.lease("coast").Fence).To(BeEquivalentTo(1))
+	})
+
+	It("grow and shrink with their declaration", func() {
+		// Guards against a group that keeps a size nobody declared.
+		two()
+		before := r.group("g1")
+		r.configure(document(spec("g1", "north", 4), spec("g2", "north", 2)))
+		r.until(90*time.Second, "sizes", func() bool {
+			return len(r.group("g1").Members) == 4 && len(r.group("g2").Members) == 2 && r.serving("g1", "g2")
+		})
+		Expect(r.group("g1").Domain).To(Equal(before.Domain))
+	})
+
+	It("load another model only after running requests have ended", func() {
+		// Guards against answers that are cut off by a planned reload.
+		two()
+		holder := r.holder("north")
+		holder.t.Targets.Put("g1", &state.Target{ID: "g1", InFlight: 1})
+		doc := document(spec("g1", "north", 3), spec("g2", "north", 3))
+		doc.Groups[0].Model = "other"
+		fence := r.group("g1").Fence
+		r.configure(doc)
+		r.run(8 * time.Second)
+		Expect(r.group("g1").Fence).To(BeNumerically(">", fence))
+		Expect(r.engines[r.group("g1").Members[0]].answer.Model).To(Equal("draft"))
+		holder.t.Targets.Put("g1", &state.Target{ID: "g1", ReportAt: r.now})
+		r.until(5*time.Second, "other model", func() bool { return r.serving("g1") })
+		Expect(r.engines[r.group("g1").Members[0]].answer.Model).To(Equal("other"))
+	})
+
+	It("get a new role by an order of that kind", func() {
+		// Guards against a reload of weights for a change of role.
+		two()
+		doc := document(spec("g1", "north", 3), spec("g2", "north", 3))
+		doc.Groups[0].Role = "decode"
+		r.configure(doc)
+		r.until(60*time.Second, "role", func() bool { return r.serving("g1") && r.group("g1").Role == "decode" })
+		last := r.engines[r.group("g1").Members[0]].orders
+		Expect(last[len(last)-1].Kind).To(Equal(state.OrderRole))
+	})
+})
--- a/pkg/core/state/config.go
+++ b/pkg/core/state/config.go
@@ -52,6 +52,9 @@
 type DataCentreSpec struct {
 	Name   DataCentre `cbor:"1,keyasint"`
 	Region string     `cbor:"2,keyasint,omitempty"`
+	// WeightRate is what the weight store delivers to this data centre in
+	// bytes per second; 0 means that loads are not paced.
+	WeightRate int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // ModelSpec declares a model with its versions and adapters.
--- a/pkg/core/state/message.go
+++ b/pkg/core/state/message.go
@@ -17,6 +17,16 @@
 	ClaimAnswer    *ClaimAnswer    `cbor:"7,keyasint,omitempty"`
 	OutcomeQuery   *OutcomeQuery   `cbor:"8,keyasint,omitempty"`
 	OutcomeAnswer  *OutcomeAnswer  `cbor:"9,keyasint,omitempty"`
+	GroupNotice    *GroupNotice    `cbor:"10,keyasint,omitempty"`
+}
+
+// GroupNotice passes on the row of a replica group that changed, with its
+// revision in the table service, so that nodes need no scan to see the change.
+// A node that holds this revision or a later one ignores it.
+type GroupNotice struct {
+	Group    GroupID  `cbor:"1,keyasint"`
+	Revision uint64   `cbor:"2,keyasint"`
+	Row      GroupRow `cbor:"3,keyasint"`
 }
 
 // PollRequest asks a peer for everything that expires. The asker dates the
--- a/pkg/core/state/row.go
+++ b/pkg/core/state/row.go
@@ -145,6 +145,16 @@
 	Fence   Fence      `cbor:"3,keyasint"`
 	Phase   GroupPhase `cbor:"4,keyasint"`
 	Op      OpID       `cbor:"5,keyasint"`
+	// DataCentre is that of the members: the holder of its lease owns the row.
+	DataCentre DataCentre `cbor:"6,keyasint,omitempty"`
+	// Model, Version, Adapters and Role are what the members are to serve.
+	Model    string   `cbor:"7,keyasint,omitempty"`
+	Version  string   `cbor:"8,keyasint,omitempty"`
+	Adapters []string `cbor:"9,keyasint,omitempty"`
+	Role     string   `cbor:"10,keyasint,omitempty"`
+	// Order is what brings the members into this state: OrderLoad, or
+	// OrderRole when only the role changed.
+	Order OrderKind `cbor:"11,keyasint,omitempty"`
 }
 
 // HostRow is the value of table row "host/<id>".
--- a/pkg/core/state/tables.go
+++ b/pkg/core/state/tables.go
@@ -50,6 +50,7 @@
 	IgnoreVersionOrder bool
 	IgnoreHostRows     bool
 	IgnoreFairness     bool
+	IgnoreOrderExpiry  bool
 }
 
 // NewTables returns the tables of a node that knows nothing yet.
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -31,6 +31,16 @@
 	GroupGivenUp ID = 1204
 	LeaseTaken   ID = 1205
 	LeaseLost    ID = 1206
+
+	LeaseReleased     ID = 1207
+	GroupServing      ID = 1208
+	GroupMoved        ID = 1209
+	GroupReloaded     ID = 1210
+	GroupDissolved    ID = 1211
+	GroupFreed        ID = 1212
+	GroupWaiting      ID = 1213
+	OrderRefused      ID = 1214
+	PlacementConflict ID = 1215
 )
 
 // Events of requests: 1300 to 1399.
@@ -86,6 +96,15 @@
 	{GroupGivenUp, Warn, "replica group given up"},
 	{LeaseTaken, Info, "placement lease taken"},
 	{LeaseLost, Warn, "placement lease lost"},
+	{LeaseReleased, Info, "placement lease released"},
+	{GroupServing, Info, "replica group loaded"},
+	{GroupMoved, Info, "replica group moved to another fabric domain"},
+	{GroupReloaded, Info, "replica group reloads"},
+	{GroupDissolved, Info, "replica group dissolved"},
+	{GroupFreed, Warn, "hosts of an abandoned replica group freed"},
+	{GroupWaiting, Warn, "no fabric domain has enough free hosts for a replica group"},
+	{OrderRefused, Warn, "engine refused an order with an old fencing number"},
+	{PlacementConflict, Warn, "placement transaction lost a race"},
 	{RequestRefused, Info, "request refused"},
 	{AttemptFailed, Warn, "attempt failed"},
 	{ClaimUnsettled, Error, "outcome of a request that may not be repeated is unknown"},
