Decide retries, resumes and outcomes

Each failed attempt ended its request, events of an earlier attempt could end a later one, and ended requests were neither kept nor deleted.

Retry now resumes a generation at its target from its offset (three times at most), restarts a request only before a byte was passed on, within a budget of 20% of successes (at least 3 in 10 s) per account and per target, and never after the deadline. A refusal says "not run" only if no earlier attempt may have run: the check is in the one place that ends requests. Events of another than the running attempt are dropped and counted. Ended requests are kept for five minutes; OutcomeAsked and OutcomeFound carry the question of the caller API, OutcomeQuery and OutcomeAnswer that between nodes.

Running attempts are told by two columns with one writer each (Attempt and Finished), because a flag that admission clears at the end of the step made a true "not run" look doubtful to the systems before it.

Tables sort their keys when they are iterated. Keeping the order on each Put moved all keys for each request.

In the specs 200 requests against dead targets make at most 206 attempts, and more than twice as many without budgets; with IgnoreAttempt the caller gets the late answer of attempt 1.

--- a/pkg/core/admission/admission.go
+++ b/pkg/core/admission/admission.go
@@ -28,17 +28,15 @@
 }
 
 // Step implements state.System.
-func (s *System) Step(now time.Duration, in state.Input, out *state.Outbox) {
+func (s *System) Step(now time.Duration, _ state.Input, out *state.Outbox) {
 	for _, id := range s.changed.Take() {
 		req := s.t.Requests.Get(id)
-		if req == nil || req.Phase != state.RequestQueued || req.Gate == state.GateWaiting {
+		if req == nil || req.Gate == state.GateWaiting {
 			continue
 		}
-		s.dispatch(now, req, out)
-	}
-	if ev, ok := in.(state.AttemptEvent); ok && ev.Stage == state.AttemptEnded {
-		if req := s.t.Requests.Get(ev.Request); req != nil && req.IsCurrent(ev) {
-			req.Running = false
+		again := req.Phase == state.RequestSent && !req.Running() && req.Next != state.NextNone
+		if req.Phase == state.RequestQueued || again {
+			s.dispatch(now, req, out)
 		}
 	}
 }
@@ -51,9 +49,14 @@
 			"no target can take the request now; send it again later", apierror.NotRun).After(time.Second), out)
 		return
 	}
-	req.Phase, req.Target, req.Attempt, req.SentAt, req.Running = state.RequestSent, target, 1, now, true
+	req.Phase, req.Target, req.SentAt = state.RequestSent, target, now
+	req.Attempt++
+	var resume *state.ResumePoint
+	if req.Next == state.NextResume || arrival.Resume != nil {
+		resume = &state.ResumePoint{Target: target, Generation: req.Generation, Offset: req.Offset}
+	}
 	out.Add(state.StartAttempt{
-		Request: arrival.ID, Attempt: 1, Target: target, Address: s.t.Targets.Get(target).Address,
-		NewConnection: arrival.Once, Timeout: req.Deadline - now,
+		Request: arrival.ID, Attempt: req.Attempt, Resume: resume, Target: target, Address: s.t.Targets.Get(target).Address,
+		NewConnection: arrival.Once || resume != nil, Timeout: req.Deadline - now,
 	})
 }
--- a/pkg/core/claims/settle.go
+++ b/pkg/core/claims/settle.go
@@ -12,10 +12,13 @@
 // attempted settles the claim of a request whose attempt ended.
 func (s *System) attempted(now time.Duration, ev state.AttemptEvent, out *state.Outbox) {
 	req := s.t.Requests.Get(ev.Request)
-	if req == nil || ev.Stage != state.AttemptEnded || !s.t.IsGuarded(req) || !s.t.Accepts(req, ev) {
+	if req == nil || ev.Stage != state.AttemptEnded || !s.t.IsGuarded(req) {
 		return
 	}
 	e := s.entries[state.KeyClaim(req.Arrival.Account, req.Arrival.Key)]
+	if ev.Attempt != req.Attempt && !s.t.Switches.IgnoreAttempt {
+		return
+	}
 	if e == nil || e.claimant != ev.Request || e.stage != stageHeld {
 		return
 	}
--- /dev/null
+++ b/pkg/core/retry/budget.go
@@ -0,0 +1,63 @@
+package retry
+
+import "time"
+
+const (
+	// budgetWindow is the time over which successes and retries are counted.
+	budgetWindow  = 10 * time.Second
+	budgetBuckets = 10
+	// budgetShare is the share of successes that may be retries, in percent.
+	budgetShare = 20
+	// budgetFloor lets a caller with few requests retry at all.
+	budgetFloor = 3
+)
+
+// budget bounds retries to a share of successes over a sliding window, so that
+// a failure is not multiplied by retries.
+type budget struct {
+	successes [budgetBuckets]int
+	retries   [budgetBuckets]int
+	// slot is the number of the current bucket since time zero.
+	slot int64
+	// totals over the window.
+	successSum int
+	retrySum   int
+}
+
+func (b *budget) advance(now time.Duration) {
+	slot := int64(now / (budgetWindow / budgetBuckets))
+	for n := 0; b.slot < slot && n < budgetBuckets; n++ {
+		b.slot++
+		i := b.slot % budgetBuckets
+		b.successSum -= b.successes[i]
+		b.retrySum -= b.retries[i]
+		b.successes[i], b.retries[i] = 0, 0
+	}
+	b.slot = slot
+}
+
+func (b *budget) succeeded(now time.Duration) {
+	b.advance(now)
+	b.successes[b.slot%budgetBuckets]++
+	b.successSum++
+}
+
+func (b *budget) allows(now time.Duration) bool {
+	b.advance(now)
+	return b.retrySum < max(budgetFloor, b.successSum*budgetShare/100)
+}
+
+func (b *budget) spend(now time.Duration) {
+	b.advance(now)
+	b.retries[b.slot%budgetBuckets]++
+	b.retrySum++
+}
+
+func budgetOf[K comparable](m map[K]*budget, key K) *budget {
+	b := m[key]
+	if b == nil {
+		b = &budget{}
+		m[key] = b
+	}
+	return b
+}
--- a/pkg/core/routing/routing.go
+++ b/pkg/core/routing/routing.go
@@ -73,7 +73,7 @@
 
 func (s *System) ended(ev state.AttemptEvent) {
 	req := s.t.Requests.Get(ev.Request)
-	if req == nil {
+	if req == nil || !req.IsCurrent(ev) {
 		return
 	}
 	if target := s.t.Targets.Get(req.Target); target != nil {
@@ -88,6 +88,12 @@
 	}
 	var best *state.Target
 	for _, target := range s.t.Targets.All() {
+		if req.Next == state.NextResume && req.Target != target.ID {
+			continue
+		}
+		if req.Next != state.NextResume && len(req.Tried) > 0 && slices.Contains(req.Tried, target.ID) {
+			continue
+		}
 		if !s.fits(now, target, req) {
 			continue
 		}
--- a/pkg/core/state/input.go
+++ b/pkg/core/state/input.go
@@ -206,6 +206,14 @@
 // CallerGone says that a caller closed its connection.
 type CallerGone struct{ Request RequestID }
 
+// OutcomeAsked asks for the outcome of a request, which any node may have
+// taken. The answer is an OutcomeFound with the same ID.
+type OutcomeAsked struct {
+	ID      uint64
+	Account AccountID
+	Request RequestID
+}
+
 // OperatorAction is what an operator asks for.
 type OperatorAction uint8
 
@@ -263,6 +271,7 @@
 func (RequestArrived) input()    {}
 func (AttemptEvent) input()      {}
 func (CallerGone) input()        {}
+func (OutcomeAsked) input()      {}
 func (OperatorCommand) input()   {}
 func (Shutdown) input()          {}
 func (EngineOrderResult) input() {}
--- a/pkg/core/state/output.go
+++ b/pkg/core/state/output.go
@@ -142,6 +142,15 @@
 	Repeated bool
 }
 
+// OutcomeFound answers an OutcomeAsked. Answer.Known is false when no node
+// that answered knows the request.
+type OutcomeFound struct {
+	ID     uint64
+	Answer OutcomeAnswer
+	// Node is the node that took the request.
+	Node NodeID
+}
+
 // OperatorReply answers an OperatorCommand.
 type OperatorReply struct {
 	ID      uint64
@@ -179,6 +188,7 @@
 func (StartAttempt) output()  {}
 func (CancelAttempt) output() {}
 func (Reply) output()         {}
+func (OutcomeFound) output()  {}
 func (OperatorReply) output() {}
 func (LogEvent) output()      {}
 func (SetReadiness) output()  {}
--- a/pkg/core/state/request.go
+++ b/pkg/core/state/request.go
@@ -51,18 +51,23 @@
 	return req.Arrival.Once && !t.Switches.IgnoreClaims
 }
 
+// Running reports whether an attempt of the request is under way.
+func (r *Request) Running() bool { return r.Attempt > r.Finished }
+
 // IsCurrent reports whether an attempt event belongs to the running attempt of
 // the request.
-func (r *Request) IsCurrent(ev AttemptEvent) bool { return r.Running && r.Attempt == ev.Attempt }
-
-// Accepts reports whether an attempt event may decide about the request.
-func (t *Tables) Accepts(req *Request, ev AttemptEvent) bool {
-	return req.IsCurrent(ev) || t.Switches.IgnoreAttempt
-}
+func (r *Request) IsCurrent(ev AttemptEvent) bool { return r.Running() && r.Attempt == ev.Attempt }
 
 // EndWithRefusal ends a request with a refusal. It is one of the two places
-// that write the end columns, so that a request gets exactly one reply.
+// that write the end columns, so that a request gets exactly one reply. A
+// refusal that says "not run" becomes "unknown" if an attempt may have run the
+// request.
 func (t *Tables) EndWithRefusal(now time.Duration, req *Request, refusal *apierror.Error, out *Outbox) {
+	if refusal.Outcome == apierror.NotRun && (req.MayHaveRun || req.Running()) && !t.Switches.IgnoreOutcome {
+		c := *refusal
+		c.Outcome = apierror.Unknown
+		refusal = &c
+	}
 	t.end(now, req, Reply{Refusal: refusal}, refusal.Outcome, out)
 }
 
@@ -77,7 +82,7 @@
 	}
 	// A request with Once keeps its attempt, whose answer still belongs to the
 	// claim. The cancel precedes the reply, which releases the exchange.
-	if req.Running && !req.Arrival.Once {
+	if req.Running() && !req.Arrival.Once {
 		out.Add(CancelAttempt{Request: req.Arrival.ID, Attempt: req.Attempt})
 	}
 	req.Phase, req.Outcome, req.EndedAt = RequestEnded, outcome, now
--- a/pkg/core/state/row.go
+++ b/pkg/core/state/row.go
@@ -259,7 +259,7 @@
 
 // Request is a request of a caller. Arrival fields never change; Phase, Target
 // and Attempt are written by the admission system through its dispatch, Claim
-// fields by the claims system, Next by the retry system. The end columns are
+// fields by the claims system, what follows from attempts by the retry system. The end columns are
 // written only by EndWithRefusal and EndWithAnswer.
 type Request struct {
 	Arrival RequestArrived
@@ -283,11 +283,15 @@
 	CallerGone bool
 	// Gate is the state of the request's claim.
 	Gate ClaimGate
-	// Running is set from the start of an attempt until its last event. Written
-	// by the admission system.
-	Running bool
-	// Next is what follows the end of an attempt.
-	Next NextStep
+	// Finished is the number of the last attempt that ended. Written by the
+	// retry system.
+	Finished int
+	// MayHaveRun is set once an attempt ended with another outcome than not
+	// run. Written by the retry system.
+	MayHaveRun bool
+	// Next is what follows the end of attempt Finished, not before NextAt.
+	Next   NextStep
+	NextAt time.Duration
 }
 
 // ClaimPhase is the phase of a claim.
--- a/pkg/core/state/table.go
+++ b/pkg/core/state/table.go
@@ -3,24 +3,27 @@
 import (
 	"cmp"
 	"iter"
+	"maps"
 	"slices"
 )
 
 // Table holds the rows of one entity by key. Iteration is in key order, so
-// that no map order reaches an output.
+// that no map order reaches an output. The order is made when it is asked for:
+// keeping it on each Put would move all keys for each request.
 type Table[K cmp.Ordered, R any] struct {
-	rows map[K]*R
-	keys []K
-	subs []*DirtySet[K]
+	rows   map[K]*R
+	keys   []K
+	sorted bool
+	subs   []*DirtySet[K]
 }
 
 // NewTable returns an empty table.
 func NewTable[K cmp.Ordered, R any]() *Table[K, R] {
-	return &Table[K, R]{rows: map[K]*R{}}
+	return &Table[K, R]{rows: map[K]*R{}, sorted: true}
 }
 
 // Len returns the number of rows.
-func (t *Table[K, R]) Len() int { return len(t.keys) }
+func (t *Table[K, R]) Len() int { return len(t.rows) }
 
 // Get returns the row of a key, or nil. A caller that changes the row calls
 // Touch so that subscribed systems see the change.
@@ -29,8 +32,7 @@
 // Put inserts or replaces a row and marks it dirty.
 func (t *Table[K, R]) Put(key K, row *R) {
 	if _, ok := t.rows[key]; !ok {
-		i, _ := slices.BinarySearch(t.keys, key)
-		t.keys = slices.Insert(t.keys, i, key)
+		t.sorted = false
 	}
 	t.rows[key] = row
 	t.Touch(key)
@@ -42,9 +44,7 @@
 		return
 	}
 	delete(t.rows, key)
-	if i, found := slices.BinarySearch(t.keys, key); found {
-		t.keys = slices.Delete(t.keys, i, i+1)
-	}
+	t.sorted = false
 	t.Touch(key)
 }
 
@@ -57,13 +57,20 @@
 
 // Keys returns the keys in order. The slice is owned by the table and is valid
 // until the next Put or Delete.
-func (t *Table[K, R]) Keys() []K { return t.keys }
+func (t *Table[K, R]) Keys() []K {
+	if !t.sorted {
+		t.keys = slices.AppendSeq(make([]K, 0, len(t.rows)), maps.Keys(t.rows))
+		slices.Sort(t.keys)
+		t.sorted = true
+	}
+	return t.keys
+}
 
 // All iterates over the rows in key order. Rows must not be added or deleted
 // during the iteration.
 func (t *Table[K, R]) All() iter.Seq2[K, *R] {
 	return func(yield func(K, *R) bool) {
-		for _, k := range t.keys {
+		for _, k := range t.Keys() {
 			if !yield(k, t.rows[k]) {
 				return
 			}
--- a/pkg/core/state/tables.go
+++ b/pkg/core/state/tables.go
@@ -51,6 +51,8 @@
 	IgnoreVersionOrder bool
 	IgnoreHostRows     bool
 	IgnoreFairness     bool
+	// IgnoreBudgets retries without bounds.
+	IgnoreBudgets bool
 }
 
 // NewTables returns the tables of a node that knows nothing yet.
--- a/pkg/core/world_test.go
+++ b/pkg/core/world_test.go
@@ -44,6 +44,7 @@
 	nextID      int
 	reportLag   time.Duration
 	staleLoads  bool
+	found       func(state.OutcomeFound)
 }
 
 type fakeNode struct {
@@ -180,6 +181,8 @@
 			panic("two replies to " + string(out.Request))
 		}
 		w.replies[out.Request], w.repliedAt[out.Request] = out, w.now
+	case state.OutcomeFound:
+		w.found(out)
 	case state.LogEvent:
 		n.logs = append(n.logs, out)
 	}
