Route by limits, load, distance and cache hints

Every node sent each request to the target with the fewest attempts of its own, up to the warm limit: six nodes filled a cold target six times over, and nodes with the same report chose the same target.

A limit follows the target's own report (incarnation and completed work); each registered node has a fixed share of it, the smaller one of two registries until a change is accepted, and borrows on warm targets within what peers report, where a silent peer counts with its whole share. Connection errors, new incarnations and first tokens of at least five times the usual make a target cold at once. Load reports are fetched only from targets in use. A report older than 3 s counts as none: a target that started again since would look warm.

Ruled out: choosing among the best quarter of all targets, which loses a target that has the prompt cached; targets count as equally good within a score of 0.25 in place of that. First tokens below 50 ms never make a target cold, because the noise of fast engines would.

--- /dev/null
+++ b/pkg/core/routing/load.go
@@ -0,0 +1,130 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/apricotgrade/apricotgrade/pkg/apierror"
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+)
+
+const (
+	// fetchPeriod is the period of load requests to a target in use.
+	fetchPeriod = time.Second
+	// useFor is how long a target counts as used after an attempt.
+	useFor = 10 * time.Second
+)
+
+// fetch asks the targets that this node uses for their load. A suspect target
+// is asked too, because a plain service is cleared by its report.
+func (s *System) fetch(now time.Duration, out *state.Outbox) {
+	for id, ok := s.fetches.Pop(now); ok; id, ok = s.fetches.Pop(now) {
+		tr := s.tracks[id]
+		if tr == nil {
+			continue
+		}
+		row := tr.row
+		if row.Address == "" || (now-tr.lastUsed > useFor && !row.Suspect && row.InFlight == 0) {
+			tr.fetching = false
+			continue
+		}
+		tr.sentSinceFetch = 0
+		out.Add(state.FetchLoad{Target: id, Address: row.Address, SentAt: now})
+		// The jitter keeps the nodes from asking a target all at once.
+		jitter := time.Duration(s.t.Rand.Int64N(int64(fetchPeriod / 10)))
+		s.fetches.Schedule(id, now+fetchPeriod-jitter)
+	}
+}
+
+// use notes that an attempt goes to a target.
+func (s *System) use(now time.Duration, tr *track) {
+	tr.row.InFlight++
+	tr.row.SentSinceReport++
+	tr.sentSinceFetch++
+	s.t.Targets.Touch(tr.row.ID)
+	s.watch(now, tr)
+}
+
+func (s *System) watch(now time.Duration, tr *track) {
+	tr.lastUsed = now
+	if !tr.fetching {
+		tr.fetching = true
+		s.fetches.Schedule(tr.row.ID, now)
+	}
+}
+
+// reported takes a load report. A report of an older request or incarnation is
+// dropped, so that the limit follows the latest state of the target.
+func (s *System) reported(now time.Duration, in state.LoadReport, out *state.Outbox) {
+	tr := s.tracks[in.Target]
+	if tr == nil || !in.OK {
+		return
+	}
+	row := tr.row
+	if tr.hasReport && (in.SentAt < row.ReportAt || in.Answer.Incarnation < row.Report.Incarnation) {
+		return
+	}
+	if tr.hasReport && in.Answer.Incarnation != row.Report.Incarnation {
+		row.Report = in.Answer
+		row.Report.Completed = 0
+		s.turnCold(now, tr, out)
+		row.ColdBase = 0
+		tr.firstTokens, tr.usualFirst = 0, 0
+		s.hints.forget(in.Target, now)
+	}
+	row.Report, row.ReportAt, tr.hasReport = in.Answer, in.SentAt, true
+	row.SentSinceReport, tr.peersAtReport = tr.sentSinceFetch, row.PeerInFlight
+	if row.Suspect && row.Service != "" && in.SentAt > row.SuspectAt {
+		row.Suspect, s.grew = false, true
+	}
+	s.hints.report(in, now)
+	s.setLeaving(tr)
+	s.limit(now, tr)
+	s.expiry.Schedule(in.Target, in.SentAt+reportFor)
+}
+
+// attempted follows the attempts of this node.
+func (s *System) attempted(now time.Duration, ev state.AttemptEvent, out *state.Outbox) {
+	req := s.t.Requests.Get(ev.Request)
+	if req == nil || !req.IsCurrent(ev) {
+		return
+	}
+	tr := s.tracks[req.Target]
+	if tr == nil {
+		return
+	}
+	if ev.Stage == state.AttemptFirstByte {
+		s.firstToken(now, tr, now-req.SentAt, out)
+		return
+	}
+	tr.row.InFlight--
+	s.grew = true
+	s.t.Targets.Touch(req.Target)
+	switch ev.Failure {
+	case state.FailureConnect, state.FailureBroken:
+		tr.row.Suspect, tr.row.SuspectAt = true, now
+		s.turnCold(now, tr, out)
+		s.watch(now, tr)
+	case state.FailureNone:
+		if ev.Outcome == apierror.Done {
+			s.hints.served(req.Target, req.Arrival.Prefixes, now)
+		}
+	default:
+	}
+	if !tr.declared && tr.row.InFlight == 0 {
+		s.drop(req.Target)
+	}
+}
+
+// load estimates the requests at a target: its last report, what this node has
+// sent since, and what the peers have reported or are expected to have sent.
+func (s *System) load(now time.Duration, tr *track) float64 {
+	row := tr.row
+	known := row.InFlight + row.PeerInFlight
+	if !tr.hasReport || now-row.ReportAt >= reportFor {
+		return float64(known)
+	}
+	// Attempts that have ended since the report are no load any more.
+	sent := min(row.SentSinceReport, row.InFlight) * (1 + s.unheard)
+	peers := max(row.PeerInFlight-tr.peersAtReport, 0)
+	return float64(max(row.Report.Running+row.Report.Waiting+sent+peers, known))
+}
--- a/pkg/core/routing/routing.go
+++ b/pkg/core/routing/routing.go
@@ -9,123 +9,299 @@
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 )
 
-// System reads Config, Groups and Hosts; it writes Targets.
+// heardFor is how long the counts of a peer hold for borrowing.
+const heardFor = 2 * time.Second
+
+// System reads Config, Groups, Hosts, Peers and the attempt columns of
+// Requests; it writes Targets.
 type System struct {
-	t       *state.Tables
-	version state.Version
-	groups  *state.DirtySet[state.GroupID]
+	t        *state.Tables
+	version  state.Version
+	accepted state.Version
+	groups   *state.DirtySet[state.GroupID]
+	hosts    *state.DirtySet[state.HostID]
+	peers    *state.DirtySet[state.NodeID]
+	tracks   map[state.TargetID]*track
+	models   map[string][]*track
+	services map[string][]*track
+	distance map[state.DataCentre]float64
+	loads    map[state.NodeID][]state.TargetCount
+	seen     map[state.HostID]seenHost
+	fetches  *state.DueQueue[state.TargetID]
+	expiry   *state.DueQueue[state.TargetID]
+	hints    *hints
+	// unheard counts registered peers whose counts are too old.
+	unheard   int
+	nextHeard time.Duration
+	grew      bool
+	scratch   []scored
+	// registry and previous are the node lists that the ranks are for.
+	registry []state.NodeEntry
+	previous []state.NodeEntry
+	unranked bool
+}
+
+// track is what this node knows about a target besides its row.
+type track struct {
+	row *state.Target
+	// rank and oldRank are this node's places in the rendezvous order of the
+	// registry and of the one before it; negative when it is not registered.
+	rank    int
+	oldRank int
+	// declared is false once the configuration has dropped the target.
+	declared bool
+	lastUsed time.Duration
+	fetching bool
+	// sentSinceFetch counts attempts since the last load request.
+	sentSinceFetch int
+	peersAtReport  int
+	hasReport      bool
+	firstTokens    int
+	usualFirst     time.Duration
+	hostLeaving    bool
+	whole          bool
+	wholeAt        time.Duration
+}
+
+type seenHost struct {
+	address string
+	group   state.GroupID
+	leaving bool
 }
 
 // New returns the routing system.
 func New(t *state.Tables) *System {
-	return &System{t: t, groups: t.Groups.Subscribe()}
+	return &System{
+		t: t, groups: t.Groups.Subscribe(), hosts: t.Hosts.Subscribe(), peers: t.Peers.Subscribe(),
+		tracks: map[state.TargetID]*track{}, loads: map[state.NodeID][]state.TargetCount{},
+		seen:    map[state.HostID]seenHost{},
+		fetches: state.NewDueQueue[state.TargetID](), expiry: state.NewDueQueue[state.TargetID](),
+		hints: newHints(),
+	}
 }
 
 // Step implements state.System.
-func (s *System) Step(_ time.Duration, in state.Input, _ *state.Outbox) {
-	if s.t.Config.Known && s.version != s.t.Config.Head.Version {
-		s.version = s.t.Config.Head.Version
-		s.rebuild()
+func (s *System) Step(now time.Duration, in state.Input, out *state.Outbox) {
+	c := &s.t.Config
+	if c.Known && (s.version != c.Head.Version || s.accepted != c.Accepted) {
+		s.version, s.accepted = c.Head.Version, c.Accepted
+		s.rebuild(now)
+	}
+	for _, id := range s.hosts.Take() {
+		s.hostChanged(id)
 	}
 	for _, id := range s.groups.Take() {
-		s.locate(id)
+		s.groupChanged(now, id)
 	}
-	if ev, ok := in.(state.AttemptEvent); ok && ev.Stage == state.AttemptEnded {
-		s.ended(ev)
+	for _, id := range s.peers.Take() {
+		s.peerChanged(id)
 	}
+	switch in := in.(type) {
+	case state.AttemptEvent:
+		s.attempted(now, in, out)
+	case state.LoadReport:
+		s.reported(now, in, out)
+	case state.Tick:
+		s.tick(now, out)
+	}
+}
+
+// CapacityGrew reports whether a target may take more than at the last call.
+func (s *System) CapacityGrew() bool {
+	grew := s.grew
+	s.grew = false
+	return grew
 }
 
-func (s *System) rebuild() {
-	doc := s.t.Config.Document
+// rebuild takes the targets from the configuration.
+func (s *System) rebuild(now time.Duration) {
+	doc, head := &s.t.Config.Document, &s.t.Config.Head
+	idle := s.t.Config.Preset().IdleGroups
+	s.models, s.services, s.grew = map[string][]*track{}, map[string][]*track{}, true
+	for _, tr := range s.tracks {
+		tr.declared = false
+	}
+	s.measure(doc)
 	for _, g := range doc.Groups {
-		s.put(state.Target{
-			ID: state.TargetID(g.Name), Group: g.Name, DataCentre: g.DataCentre, Model: g.Model,
-			Version: g.Version, Adapters: g.Adapters, ColdLimit: g.ColdLimit, WarmLimit: g.WarmLimit,
-		})
-		s.locate(g.Name)
+		tr := s.track(state.TargetID(g.Name))
+		row := tr.row
+		row.Group, row.DataCentre, row.Model, row.Version = g.Name, g.DataCentre, g.Model, g.Version
+		row.Adapters, row.ColdLimit, row.WarmLimit = g.Adapters, g.ColdLimit, g.WarmLimit
+		row.Idle = slices.Contains(idle, g.Name)
+		s.models[g.Model] = append(s.models[g.Model], tr)
+		s.groupChanged(now, g.Name)
 	}
 	for _, svc := range doc.Services {
 		for _, r := range svc.Replicas {
-			s.put(state.Target{
-				ID: state.TargetID(svc.Name + "/" + r.Name), Service: svc.Name, DataCentre: r.DataCentre,
-				Address: r.Address, ColdLimit: svc.ColdLimit, WarmLimit: svc.WarmLimit,
-			})
+			tr := s.track(state.TargetID(svc.Name + "/" + r.Name))
+			row := tr.row
+			row.Service, row.DataCentre, row.Address = svc.Name, r.DataCentre, r.Address
+			row.ColdLimit, row.WarmLimit, row.Idle = svc.ColdLimit, svc.WarmLimit, false
+			s.services[svc.Name] = append(s.services[svc.Name], tr)
+		}
+	}
+	for _, id := range slices.Clone(s.t.Targets.Keys()) {
+		tr := s.tracks[id]
+		tr.row.Idle = tr.row.Idle || !tr.declared ||
+			slices.Contains(head.OutDataCentres, tr.row.DataCentre) || slices.Contains(head.OutTargets, id)
+		if !tr.declared && tr.row.InFlight == 0 {
+			s.drop(id)
+			continue
 		}
+		s.t.Targets.Touch(id)
+	}
+	s.rankAll()
+	for _, tr := range s.tracks {
+		s.limit(now, tr)
 	}
 }
 
-func (s *System) put(row state.Target) {
-	if old := s.t.Targets.Get(row.ID); old != nil {
-		row.InFlight, row.Address = old.InFlight, old.Address
+// rankAll places this node in the rendezvous order of each target. It hashes
+// every pair of target and node, so it runs only when one of them is new.
+func (s *System) rankAll() {
+	c := &s.t.Config
+	if !s.unranked && sameNodes(s.registry, c.Head.Nodes) && sameNodes(s.previous, c.PreviousNodes) {
+		return
+	}
+	s.registry, s.previous, s.unranked = c.Head.Nodes, c.PreviousNodes, false
+	for id, tr := range s.tracks {
+		tr.rank, tr.oldRank = s.rank(id, s.registry), s.rank(id, s.previous)
 	}
-	s.t.Targets.Put(row.ID, &row)
 }
 
-func (s *System) locate(id state.GroupID) {
-	group, target := s.t.Groups.Get(id), s.t.Targets.Get(state.TargetID(id))
-	if group == nil || target == nil {
+func sameNodes(a, b []state.NodeEntry) bool {
+	return slices.EqualFunc(a, b, func(x, y state.NodeEntry) bool { return x.ID == y.ID })
+}
+
+func (s *System) track(id state.TargetID) *track {
+	tr := s.tracks[id]
+	if tr == nil {
+		tr = &track{row: &state.Target{ID: id, PeerInFlight: s.peerInFlight(id)}, rank: -1, oldRank: -1}
+		s.unranked = true
+		s.tracks[id] = tr
+		s.t.Targets.Put(id, tr.row)
+	}
+	tr.declared = true
+	return tr
+}
+
+// peerInFlight sums what the peers last reported about a target.
+func (s *System) peerInFlight(id state.TargetID) int {
+	sum := 0
+	for _, loads := range s.loads {
+		for _, c := range loads {
+			if c.Target == id {
+				sum += c.Count
+			}
+		}
+	}
+	return sum
+}
+
+func (s *System) drop(id state.TargetID) {
+	delete(s.tracks, id)
+	s.fetches.Cancel(id)
+	s.expiry.Cancel(id)
+	s.t.Targets.Delete(id)
+}
+
+// groupChanged takes the address and the readiness of a group.
+func (s *System) groupChanged(now time.Duration, id state.GroupID) {
+	group, tr := s.t.Groups.Get(id), s.tracks[state.TargetID(id)]
+	if tr == nil {
+		return
+	}
+	if group == nil {
+		tr.whole, tr.row.Address = false, ""
 		return
 	}
+	stale := now-tr.wholeAt > membership.VerdictFor
+	if group.Whole && (!tr.whole || stale || tr.row.Suspect) {
+		s.grew = true
+	}
+	tr.whole, tr.wholeAt = group.Whole, group.WholeAt
+	s.locate(group, tr)
+}
+
+func (s *System) locate(group *state.Group, tr *track) {
 	if host := s.t.Hosts.Get(group.Leader); host != nil {
-		target.Address = host.Address
+		tr.row.Address = host.Address
+	}
+	tr.hostLeaving = false
+	for _, m := range group.Members {
+		host := s.t.Hosts.Get(m)
+		tr.hostLeaving = tr.hostLeaving || (host != nil && host.Leaving)
 	}
+	s.setLeaving(tr)
 }
 
-func (s *System) ended(ev state.AttemptEvent) {
-	req := s.t.Requests.Get(ev.Request)
-	if req == nil || !req.IsCurrent(ev) {
+func (s *System) setLeaving(tr *track) {
+	leaving := tr.hostLeaving || tr.row.Report.Leaving
+	if leaving != tr.row.Leaving {
+		tr.row.Leaving = leaving
+		s.grew = s.grew || !leaving
+		s.t.Targets.Touch(tr.row.ID)
+	}
+}
+
+func (s *System) hostChanged(id state.HostID) {
+	host := s.t.Hosts.Get(id)
+	if host == nil {
+		delete(s.seen, id)
 		return
 	}
-	if target := s.t.Targets.Get(req.Target); target != nil {
-		target.InFlight--
+	is := seenHost{host.Address, host.Group, host.Leaving}
+	if s.seen[id] == is {
+		return
+	}
+	s.seen[id] = is
+	group, tr := s.t.Groups.Get(host.Group), s.tracks[state.TargetID(host.Group)]
+	if group != nil && tr != nil {
+		s.locate(group, tr)
+		s.grew = true
 	}
 }
 
-// Pick returns the target for a request, or false when none can take it now.
-func (s *System) Pick(now time.Duration, req *state.Request) (state.TargetID, bool) {
-	if !s.t.Config.Fresh {
-		return "", false
+// peerChanged moves the difference of a peer's counts into the targets.
+func (s *System) peerChanged(id state.NodeID) {
+	var loads []state.TargetCount
+	if peer := s.t.Peers.Get(id); peer != nil {
+		loads = peer.Loads
 	}
-	var best *state.Target
-	for _, target := range s.t.Targets.All() {
-		if req.Next == state.NextResume && req.Target != target.ID {
-			continue
-		}
-		if req.Next != state.NextResume && len(req.Tried) > 0 && slices.Contains(req.Tried, target.ID) {
-			continue
-		}
-		if !s.fits(now, target, req) {
-			continue
-		}
-		if best == nil || target.InFlight < best.InFlight {
-			best = target
+	old := s.loads[id]
+	if slices.Equal(old, loads) {
+		return
+	}
+	for _, c := range old {
+		if tr := s.tracks[c.Target]; tr != nil {
+			tr.row.PeerInFlight -= c.Count
 		}
 	}
-	if best == nil {
-		return "", false
+	for _, c := range loads {
+		if tr := s.tracks[c.Target]; tr != nil {
+			tr.row.PeerInFlight += c.Count
+		}
 	}
-	best.InFlight++
-	return best.ID, true
+	s.loads[id] = slices.Clone(loads)
+	s.grew = true
 }
 
-func (s *System) fits(now time.Duration, target *state.Target, req *state.Request) bool {
-	head := &s.t.Config.Head
-	if slices.Contains(head.OutDataCentres, target.DataCentre) || slices.Contains(head.OutTargets, target.ID) {
-		return false
-	}
-	if target.InFlight >= target.WarmLimit || target.Address == "" {
-		return false
-	}
-	a := &req.Arrival
-	if a.Kind == state.KindService {
-		return target.Service == a.Service
+func (s *System) tick(now time.Duration, out *state.Outbox) {
+	s.fetch(now, out)
+	for id, ok := s.expiry.Pop(now); ok; id, ok = s.expiry.Pop(now) {
+		if tr := s.tracks[id]; tr != nil {
+			s.limit(now, tr)
+		}
 	}
-	group := s.t.Groups.Get(target.Group)
-	if group == nil || !group.Whole || now-group.WholeAt > membership.VerdictFor {
-		return false
+	if now < s.nextHeard {
+		return
 	}
-	if target.Model != a.Model || (a.Version != "" && a.Version != target.Version) {
-		return false
+	s.nextHeard = now + heardFor/8
+	s.unheard = 0
+	for _, e := range s.t.Config.Head.Nodes {
+		peer := s.t.Peers.Get(e.ID)
+		if e.ID != s.t.Self.ID && (peer == nil || now-peer.HeardAt > heardFor) {
+			s.unheard++
+		}
 	}
-	return a.Adapter == "" || slices.Contains(target.Adapters, a.Adapter)
 }
--- a/pkg/core/state/row.go
+++ b/pkg/core/state/row.go
@@ -204,6 +204,15 @@
 	PeerInFlight int
 	// SentSinceReport counts attempts that the last report cannot include.
 	SentSinceReport int
+	// ColdBase is the completed count at which the target last turned cold in
+	// its present incarnation: work before it does not raise the limit.
+	ColdBase int64
+	// SuspectAt is when Suspect was set.
+	SuspectAt time.Duration
+	// Leaving is set while the target or a host of it is leaving.
+	Leaving bool
+	// Idle is set while the configuration gives the target no new work.
+	Idle bool
 }
 
 // LoadAnswer is a target's load report.
--- a/pkg/core/state/tables.go
+++ b/pkg/core/state/tables.go
@@ -53,6 +53,10 @@
 	IgnoreFairness     bool
 	// IgnoreBudgets retries without bounds.
 	IgnoreBudgets bool
+	// IgnoreChoices always picks the target with the best score.
+	IgnoreChoices bool
+	// IgnoreColdSigns keeps the limit of a target that turned cold.
+	IgnoreColdSigns bool
 }
 
 // NewTables returns the tables of a node that knows nothing yet.
