Link nodes over WebSocket with proof of the shared key

Nodes had no way to reach each other, so majority evidence, claim queries and verdicts of other watchers could not be exchanged.

--- a/cmd/apricotgraded/main.go
+++ b/cmd/apricotgraded/main.go
@@ -11,10 +11,13 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/apricotgrade/apricotgrade/pkg/core"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 	"github.com/apricotgrade/apricotgrade/pkg/daemon"
 	"github.com/apricotgrade/apricotgrade/pkg/gateway"
+	"github.com/apricotgrade/apricotgrade/pkg/peer"
 	"github.com/apricotgrade/apricotgrade/pkg/platform"
 	"github.com/apricotgrade/apricotgrade/pkg/settings"
 	"github.com/apricotgrade/apricotgrade/pkg/target"
@@ -41,7 +44,17 @@
 	}
 	targets := target.New()
 	node := core.New(self, state.Switches{}, uint64(self.Incarnation))
-	d := daemon.New(node, platform.NewClient(cfg.Platform, &http.Client{}), targets, nil, log)
+	links := peer.New(self, []byte(cfg.PeerKey), log)
+	d := daemon.New(node, platform.NewClient(cfg.Platform, &http.Client{}), targets, links, log)
+	links.Start(d.Feed)
+	defer links.Close()
+	peers := &http.Server{Addr: cfg.Peer, Handler: links.Handler(), ReadHeaderTimeout: 10 * time.Second}
+	go func() {
+		if err := peers.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+			log.Error("listener of peers failed", "error", err)
+		}
+	}()
+	defer func() { _ = peers.Close() }()
 	server := &http.Server{Addr: cfg.Listen, Handler: gateway.New(d, targets).Handler(), ReadHeaderTimeout: 10 * time.Second}
 	go func() {
 		<-d.Stopping()
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -212,23 +212,9 @@
 	case state.ExitReady:
 		return true
 	case state.LogEvent:
-		d.logEvent(ctx, out)
+		event.Log(ctx, d.log, out.Event, out.Attrs...)
 	default:
 		go d.call(ctx, out)
 	}
 	return false
 }
-
-func (d *Daemon) logEvent(ctx context.Context, out state.LogEvent) {
-	entry, _ := event.Find(out.Event)
-	level := slog.LevelInfo
-	switch entry.Level {
-	case event.Warn:
-		level = slog.LevelWarn
-	case event.Error:
-		level = slog.LevelError
-	case event.Info:
-	}
-	attrs := append([]slog.Attr{slog.Int("event", int(out.Event))}, out.Attrs...)
-	d.log.LogAttrs(ctx, level, entry.Message, attrs...)
-}
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -2,6 +2,11 @@
 // them for operators; a test keeps the two the same.
 package event
 
+import (
+	"context"
+	"log/slog"
+)
+
 // ID is the number of a log event. Numbers are never reused.
 type ID int
 
@@ -107,3 +112,18 @@
 	}
 	return Entry{}, false
 }
+
+// Log writes a numbered event. An event that is not in the catalogue is logged
+// without a message.
+func Log(ctx context.Context, log *slog.Logger, id ID, attrs ...slog.Attr) {
+	entry, _ := Find(id)
+	level := slog.LevelInfo
+	switch entry.Level {
+	case Warn:
+		level = slog.LevelWarn
+	case Error:
+		level = slog.LevelError
+	case Info:
+	}
+	log.LogAttrs(ctx, level, entry.Message, append([]slog.Attr{slog.Int("event", int(id))}, attrs...)...)
+}
