--- a/pkg/daemon/call.go
+++ b/pkg/daemon/call.go
@@ -30,8 +30,9 @@
 		answer, err := d.targets.Probe(ctx, out.Address)
 		d.Feed(state.ProbeResult{Host: out.Host, SentAt: out.SentAt, OK: err == nil, Answer: answer})
 	case state.FetchLoad:
-		answer, err := d.targets.Load(ctx, out.Address)
-		d.Feed(state.LoadReport{Target: out.Target, SentAt: out.SentAt, OK: err == nil, Answer: answer})
+		report, err := d.targets.Load(ctx, out.Address)
+		report.Target, report.SentAt, report.OK = out.Target, out.SentAt, err == nil
+		d.Feed(report)
 	case state.EngineOrder:
 		res, err := d.targets.Order(ctx, out)
 		res.Order, res.Host = out.Order, out.Host
@@ -67,3 +68,18 @@
 	}
 	d.Feed(reply)
 }
+
+// abandon feeds the answer to an output that was not carried out in time. No
+// byte of it was sent.
+func (d *Daemon) abandon(out state.Output) {
+	switch out := out.(type) {
+	case state.StoreRequest:
+		d.Feed(state.StoreReply{ID: out.ID, Result: state.StoreUnavailable})
+	case state.Probe:
+		d.Feed(state.ProbeResult{Host: out.Host, SentAt: out.SentAt})
+	case state.FetchLoad:
+		d.Feed(state.LoadReport{Target: out.Target, SentAt: out.SentAt})
+	case state.EngineOrder:
+		d.Feed(state.EngineOrderResult{Order: out.Order, Host: out.Host})
+	}
+}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apricotgrade/apricotgrade/pkg/apierror"
 	"github.com/apricotgrade/apricotgrade/pkg/core"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 	"github.com/apricotgrade/apricotgrade/pkg/event"
@@ -48,7 +49,11 @@
 	operators map[uint64]chan state.OperatorReply
 	operate   chan operation
 	nextOp    uint64
+	lanes     lanes
+	counters  Counters
 	ready     atomic.Bool
+	draining  atomic.Bool
+	snapshot  atomic.Pointer[Snapshot]
 	stop      chan struct{}
 	done      chan struct{}
 }
@@ -65,8 +70,8 @@
 
 // New returns a daemon. Links may be nil for a node without peers.
 func New(node *core.Node, p platform.Platform, targets *target.Client, links Links, log *slog.Logger) *Daemon {
-	return &Daemon{
-		node: node, platform: p, targets: targets, links: links, log: log,
+	d := &Daemon{
+		node: node, platform: p, targets: targets, links: links, log: log, lanes: newLanes(),
 		start:     time.Now(),
 		inputs:    make(chan state.Input, inputBuffer),
 		calls:     make(chan func(*state.Tables)),
@@ -77,6 +82,8 @@
 		stop:      make(chan struct{}),
 		done:      make(chan struct{}),
 	}
+	d.snapshot.Store(&Snapshot{})
+	return d
 }
 
 // Feed gives an input to the core. It blocks while the loop is busy and does
@@ -151,8 +158,7 @@
 				return
 			}
 		case s := <-d.submits:
-			d.exchanges[s.arrival.ID] = s.exchange
-			if d.step(ctx, s.arrival) {
+			if d.accept(s) && d.step(ctx, s.arrival) {
 				return
 			}
 		case o := <-d.operate:
@@ -168,8 +174,26 @@
 	}
 }
 
+// accept takes a request into the exchanges. A request with the id of one that
+// is known is refused here, so that no answer reaches the wrong exchange.
+func (d *Daemon) accept(s submission) bool {
+	id := s.arrival.ID
+	if d.exchanges[id] != nil || d.node.Tables().Requests.Get(id) != nil {
+		s.exchange.Reply(state.Reply{Request: id, Refusal: apierror.New(apierror.KindConflict, "request_id_in_use",
+			"another request has this X-Request-Id; send a new id or none", apierror.NotRun)})
+		return false
+	}
+	d.exchanges[id] = s.exchange
+	return true
+}
+
 func (d *Daemon) step(ctx context.Context, in state.Input) (exit bool) {
-	for _, out := range d.node.Step(time.Since(d.start), in) {
+	began := time.Now()
+	outputs := d.node.Step(began.Sub(d.start), in)
+	d.counters.Steps.Add(1)
+	d.counters.StepTime.Add(int64(time.Since(began)))
+	d.publish()
+	for _, out := range outputs {
 		if d.carryOut(ctx, out) {
 			exit = true
 		}
@@ -214,7 +238,7 @@
 	case state.LogEvent:
 		event.Log(ctx, d.log, out.Event, out.Attrs...)
 	default:
-		go d.call(ctx, out)
+		go d.lanes.run(ctx, d, out)
 	}
 	return false
 }
