Give the stand-ins generations, limits and faults

The stand-in engine had no generation that outlives its connection, so resume, cancel and crossed answers could not be tested.

--- /dev/null
+++ b/pkg/standin/complete.go
@@ -0,0 +1,231 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	"github.com/apricotgrade/apricotgrade/pkg/target"
+)
+
+// echo returns the names of a request, so that its answer can be told from
+// those of others.
+func echo(w http.ResponseWriter, r *http.Request, f Fault) {
+	for _, name := range []string{"X-Request-Id", "X-Attempt", "X-Generation-Id"} {
+		if v := r.Header.Get(name); v != "" {
+			w.Header().Set(name, v)
+		}
+	}
+	if f.Action == FaultForeign {
+		w.Header().Set("X-Request-Id", "another")
+	}
+}
+
+// refuseNotRun answers that a request was not run.
+func refuseNotRun(w http.ResponseWriter, message string) {
+	w.Header().Set(target.NotRunHeader, "true")
+	http.Error(w, message, http.StatusServiceUnavailable)
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	var req completionRequest
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	req.chat = strings.HasSuffix(r.URL.Path, "/chat/completions")
+	fault := e.faults.next()
+	if fault.Action == FaultNotRun {
+		refuseNotRun(w, "told to refuse")
+		return
+	}
+	g, status := e.begin(r.Header.Get("X-Generation-Id"), req)
+	if g == nil {
+		if status == http.StatusServiceUnavailable {
+			refuseNotRun(w, "the model is not loaded")
+			return
+		}
+		http.Error(w, "over the limit", status)
+		return
+	}
+	if fault.Action == FaultReset {
+		reset(w)
+	}
+	echo(w, r, fault)
+	e.serve(w, r, g, 0, fault)
+}
+
+// begin starts a generation, or returns the one that has this id. Its status
+// says why there is none.
+func (e *Engine) begin(id string, req completionRequest) (g *generation, status int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if g := e.generations[id]; g != nil && id != "" {
+		return g, http.StatusOK
+	}
+	if e.answer.Phase != state.PhaseReady {
+		return nil, http.StatusServiceUnavailable
+	}
+	if n := limit(e.ColdLimit, e.WarmLimit, e.load.Completed); n > 0 && e.load.Running >= n {
+		e.violations++
+		return nil, http.StatusInternalServerError
+	}
+	if id == "" {
+		id = "anonymous-" + strconv.FormatInt(e.started, 10)
+	}
+	g = newGeneration(id, req, e.Tokens)
+	e.generations[id] = g
+	e.load.Running++
+	e.started++
+	prompt := req.Messages
+	if !req.chat {
+		prompt = req.Prompt
+	}
+	e.cache.use(target.PrefixHashes(req.Model, prompt), time.Now())
+	incarnation := e.answer.Incarnation
+	go func() {
+		whole := g.run(e.TokenTime, &e.faults)
+		e.ended(g, incarnation, whole)
+		close(g.stopped)
+	}()
+	return g, http.StatusOK
+}
+
+func (e *Engine) ended(g *generation, incarnation state.Incarnation, whole bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.answer.Incarnation != incarnation {
+		return
+	}
+	e.load.Running--
+	if whole {
+		e.load.Completed++
+	}
+	if e.load.Completed >= int64(4*e.ColdLimit) {
+		e.load.Cold = false
+	}
+	time.AfterFunc(keepFinished, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.generations[g.id] == g {
+			delete(e.generations, g.id)
+		}
+	})
+}
+
+func (e *Engine) find(id string) *generation {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.generations[id]
+}
+
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+	g := e.find(r.PathValue("id"))
+	offset, err := strconv.Atoi(r.URL.Query().Get("offset"))
+	if g == nil || err != nil || offset < 0 {
+		http.Error(w, "no such generation", http.StatusNotFound)
+		return
+	}
+	fault := e.faults.next()
+	echo(w, r, fault)
+	e.serve(w, r, g, offset, fault)
+}
+
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	g := e.find(r.PathValue("id"))
+	if g == nil {
+		http.Error(w, "no such generation", http.StatusNotFound)
+		return
+	}
+	g.end(true)
+	select {
+	case <-g.stopped:
+	case <-r.Context().Done():
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// serve gives a generation to a reader.
+func (e *Engine) serve(w http.ResponseWriter, r *http.Request, g *generation, offset int, fault Fault) {
+	if g.req.Stream {
+		e.stream(w, r, g, offset, fault)
+		return
+	}
+	if fault.Action == FaultSilent {
+		<-r.Context().Done()
+		return
+	}
+	for {
+		_, done, cancelled, changed := g.from(0)
+		if cancelled {
+			panic(http.ErrAbortHandler)
+		}
+		if done {
+			break
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+	body := g.whole()
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if fault.Action == FaultCut {
+		_, _ = w.Write(body[:len(body)/2])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(body)
+}
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, g *generation, offset int, fault Fault) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	controller := http.NewResponseController(w)
+	_ = controller.Flush()
+	var buf []byte
+	sent := 0
+	for {
+		events, done, cancelled, changed := g.from(offset)
+		buf = buf[:0]
+		for _, event := range events {
+			if (fault.Action == FaultSilent || fault.Action == FaultCut) && sent == fault.After {
+				_, _ = w.Write(buf)
+				_ = controller.Flush()
+				if fault.Action == FaultCut {
+					panic(http.ErrAbortHandler)
+				}
+				<-r.Context().Done()
+				return
+			}
+			offset++
+			sent++
+			buf = append(buf, "id: "...)
+			buf = strconv.AppendInt(buf, int64(offset), 10)
+			buf = append(buf, "\ndata: "...)
+			buf = append(buf, event...)
+			buf = append(buf, "\n\n"...)
+		}
+		if done {
+			buf = append(buf, "data: [DONE]\n\n"...)
+		}
+		e.faults.hold()
+		_, _ = w.Write(buf)
+		switch {
+		case cancelled:
+			panic(http.ErrAbortHandler)
+		case done:
+			return
+		}
+		_ = controller.Flush()
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/pkg/standin/generation.go
@@ -0,0 +1,194 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+)
+
+// completionRequest is what the engine reads of a request.
+type completionRequest struct {
+	Model         string          `json:"model"`
+	Stream        bool            `json:"stream"`
+	MaxTokens     int             `json:"max_tokens"`
+	Messages      json.RawMessage `json:"messages"`
+	Prompt        json.RawMessage `json:"prompt"`
+	StreamOptions struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+
+	// chat is whether the request is a chat completion.
+	chat bool
+}
+
+// The types of answers follow the OpenAI API.
+type (
+	answerText struct {
+		Role    string `json:"role,omitempty"`
+		Content string `json:"content"`
+	}
+	answerChoice struct {
+		Index        int         `json:"index"`
+		Message      *answerText `json:"message,omitempty"`
+		Delta        *answerText `json:"delta,omitempty"`
+		Text         *string     `json:"text,omitempty"`
+		FinishReason *string     `json:"finish_reason"`
+	}
+	answerUsage struct {
+		Prompt     int `json:"prompt_tokens"`
+		Completion int `json:"completion_tokens"`
+		Total      int `json:"total_tokens"`
+	}
+	completionAnswer struct {
+		ID      string         `json:"id"`
+		Object  string         `json:"object"`
+		Created int64          `json:"created"`
+		Model   string         `json:"model"`
+		Choices []answerChoice `json:"choices"`
+		Usage   *answerUsage   `json:"usage,omitempty"`
+	}
+)
+
+// generation is one answer in the making. It goes on without a reader.
+type generation struct {
+	id     string
+	req    completionRequest
+	tokens int
+	// stopped is closed when the generation takes no more of the engine.
+	stopped chan struct{}
+
+	mu sync.Mutex
+	// events are those that a stream carries before its end marker.
+	events    [][]byte
+	done      bool
+	cancelled bool
+	changed   chan struct{}
+}
+
+func newGeneration(id string, req completionRequest, tokens int) *generation {
+	if req.MaxTokens > 0 {
+		tokens = min(tokens, req.MaxTokens)
+	}
+	return &generation{id: id, req: req, tokens: tokens, stopped: make(chan struct{}), changed: make(chan struct{})}
+}
+
+// word is the text of a token.
+func word(i int) string { return fmt.Sprintf("word%d ", i) }
+
+// Text returns the whole text that an engine generates for a number of tokens.
+func Text(tokens int) string {
+	var b strings.Builder
+	for i := range tokens {
+		b.WriteString(word(i))
+	}
+	return b.String()
+}
+
+func (g *generation) answer(object string, choices []answerChoice, usage *answerUsage) []byte {
+	b, err := json.Marshal(completionAnswer{
+		ID: g.id, Object: object, Created: time.Now().Unix(), Model: g.req.Model, Choices: choices, Usage: usage,
+	})
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+func (g *generation) usage() *answerUsage {
+	prompt := (len(g.req.Messages)+len(g.req.Prompt))/4 + 1
+	return &answerUsage{prompt, g.tokens, prompt + g.tokens}
+}
+
+// chunk is the event of token i.
+func (g *generation) chunk(i int) []byte {
+	choice := answerChoice{}
+	text := word(i)
+	if g.req.chat {
+		choice.Delta = &answerText{Content: text}
+		if i == 0 {
+			choice.Delta.Role = "assistant"
+		}
+		return g.answer("chat.completion.chunk", []answerChoice{choice}, nil)
+	}
+	choice.Text = &text
+	return g.answer("text_completion", []answerChoice{choice}, nil)
+}
+
+// last are the events after the last token.
+func (g *generation) last() [][]byte {
+	stop := "stop"
+	object, choice := "text_completion", answerChoice{FinishReason: &stop}
+	if g.req.chat {
+		object, choice.Delta = "chat.completion.chunk", &answerText{}
+	} else {
+		choice.Text = new(string)
+	}
+	events := [][]byte{g.answer(object, []answerChoice{choice}, nil)}
+	if g.req.StreamOptions.IncludeUsage {
+		events = append(events, g.answer(object, []answerChoice{}, g.usage()))
+	}
+	return events
+}
+
+// whole is the answer that is not a stream.
+func (g *generation) whole() []byte {
+	stop, text := "stop", Text(g.tokens)
+	if g.req.chat {
+		choice := answerChoice{Message: &answerText{"assistant", text}, FinishReason: &stop}
+		return g.answer("chat.completion", []answerChoice{choice}, g.usage())
+	}
+	return g.answer("text_completion", []answerChoice{{Text: &text, FinishReason: &stop}}, g.usage())
+}
+
+// run generates until the end and reports whether it got there.
+func (g *generation) run(tokenTime time.Duration, f *faults) bool {
+	for i := range g.tokens {
+		if wait := tokenTime + f.slowness(); wait > 0 {
+			time.Sleep(wait)
+		}
+		f.hold()
+		if !g.add(g.chunk(i)) {
+			return false
+		}
+	}
+	return g.add(g.last()...) && g.end(false)
+}
+
+func (g *generation) add(events ...[]byte) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.cancelled {
+		return false
+	}
+	g.events = append(g.events, events...)
+	close(g.changed)
+	g.changed = make(chan struct{})
+	return true
+}
+
+// end marks the generation as done, or as cancelled. It reports whether that
+// was new.
+func (g *generation) end(cancelled bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.done || g.cancelled {
+		return false
+	}
+	g.done, g.cancelled = !cancelled, cancelled
+	close(g.changed)
+	g.changed = make(chan struct{})
+	return true
+}
+
+// from returns the events from an offset, whether the generation ended and
+// how, and a channel that is closed at the next change.
+func (g *generation) from(offset int) (events [][]byte, done, cancelled bool, changed <-chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if offset < len(g.events) {
+		events = g.events[offset:len(g.events):len(g.events)]
+	}
+	return events, g.done, g.cancelled, g.changed
+}
