--- a/internal/gozero/gozero.go
+++ b/internal/gozero/gozero.go
@@ -25,6 +25,7 @@
 	proc.SetTimeToForceQuit(never)
 	load.Disable()
 	stat.DisableLog()
+	stat.SetReporter(nil)
 	logx.DisableStat()
 	logx.SetLevel(logx.ErrorLevel)
 	logx.SetWriter(writer{log})
--- a/pkg/daemon/call.go
+++ b/pkg/daemon/call.go
@@ -33,6 +33,8 @@
 		report, err := d.targets.Load(ctx, out.Address)
 		report.Target, report.SentAt, report.OK = out.Target, out.SentAt, err == nil
 		d.Feed(report)
+	case state.FetchLookup:
+		d.lookup(ctx, out)
 	case state.EngineOrder:
 		res, err := d.targets.Order(ctx, out)
 		res.Order, res.Host = out.Order, out.Host
@@ -69,6 +71,11 @@
 	d.Feed(reply)
 }
 
+func (d *Daemon) lookup(ctx context.Context, out state.FetchLookup) {
+	answer, found, err := d.targets.Lookup(ctx, out.Address, out.Path)
+	d.Feed(state.LookupResult{Account: out.Account, Key: out.Key, OK: err == nil, Found: found, Answer: answer})
+}
+
 // abandon feeds the answer to an output that was not carried out in time. No
 // byte of it was sent.
 func (d *Daemon) abandon(out state.Output) {
@@ -79,6 +86,8 @@
 		d.Feed(state.ProbeResult{Host: out.Host, SentAt: out.SentAt})
 	case state.FetchLoad:
 		d.Feed(state.LoadReport{Target: out.Target, SentAt: out.SentAt})
+	case state.FetchLookup:
+		d.Feed(state.LookupResult{Account: out.Account, Key: out.Key})
 	case state.EngineOrder:
 		d.Feed(state.EngineOrderResult{Order: out.Order, Host: out.Host})
 	}
--- a/pkg/gateway/server.go
+++ b/pkg/gateway/server.go
@@ -116,3 +116,9 @@
 	}
 	return len(s.conns) == 0 || time.Since(last) >= linger
 }
+
+// Close closes all connections and cuts exchanges off.
+func (s *Server) Close() error {
+	s.StopAccepting()
+	return errors.Wrap(s.http.Close(), "close connections")
+}
