Measure a node from the core's inputs and outputs

There were no metrics. A recorder sees each step of the core with its input and outputs and derives waiting, first token and whole answer by account and model, refusals by kind, attempts, retries, resumes and store calls. Counting at each call site was ruled out: the sites are spread over the gateway, the daemon and the links, and would drift from what the core decided. Series with a model appear only once an attempt has started, so that model names made up by callers create none.

--- /dev/null
+++ b/pkg/metric/metric_test.go
@@ -0,0 +1,72 @@
+package metric_test
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/apricotgrade/apricotgrade/pkg/apierror"
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	"github.com/apricotgrade/apricotgrade/pkg/metric"
+)
+
+func text(r *metric.Recorder) string {
+	var b bytes.Buffer
+	r.Write(&b)
+	return b.String()
+}
+
+// TestRequest guards against times that are counted from the wrong event and
+// against a resume that is counted as a retry.
+func TestRequest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := metric.New()
+	step := func(at int, in state.Input, out ...state.Output) {
+		r.Step(time.Duration(at)*time.Second, in, out, time.Millisecond)
+	}
+	step(1, state.RequestArrived{ID: "r", Account: "a", Model: "m"})
+	step(2, state.Tick{}, state.StartAttempt{Request: "r", Attempt: 1, Target: "g1"})
+	step(3, state.AttemptEvent{Request: "r", Attempt: 1, Stage: state.AttemptEnded, Failure: state.FailureConnect},
+		state.StartAttempt{Request: "r", Attempt: 2, Target: "g2"})
+	step(5, state.AttemptEvent{Request: "r", Attempt: 2, Stage: state.AttemptFirstByte})
+	step(6, state.Tick{}, state.StartAttempt{Request: "r", Attempt: 3, Target: "g2", Resume: &state.ResumePoint{}})
+	step(9, state.AttemptEvent{Request: "r", Attempt: 3, Stage: state.AttemptEnded}, state.Reply{Request: "r"})
+	out := text(r)
+	for _, line := range []string{
+		`apricotgrade_request_waiting_seconds_sum{account="a",model="m"} 1`,
+		`apricotgrade_request_first_token_seconds_sum{account="a",model="m"} 4`,
+		`apricotgrade_request_answer_seconds_sum{account="a",model="m"} 8`,
+		`apricotgrade_attempts_total{target="g2"} 2`,
+		`apricotgrade_attempts_ended_total{failure="connect"} 1`,
+		"apricotgrade_retries_total 1", "apricotgrade_resumes_total 1",
+		"apricotgrade_requests_open 0", "apricotgrade_core_steps_total 6",
+	} {
+		g.Expect(out).To(gomega.ContainSubstring(line + "\n"))
+	}
+}
+
+// TestRefusal guards against series for models that a caller made up.
+func TestRefusal(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := metric.New()
+	refusal := apierror.New(apierror.KindNotFound, "no_model", "name a declared model", apierror.NotRun)
+	r.Step(0, state.RequestArrived{ID: "r", Account: "a", Model: "made-up"}, []state.Output{state.Reply{Request: "r", Refusal: refusal}}, 0)
+	g.Expect(text(r)).To(gomega.ContainSubstring(`apricotgrade_refusals_total{kind="not_found",outcome="not_run"} 1`))
+	g.Expect(text(r)).NotTo(gomega.ContainSubstring("made-up"))
+}
+
+// TestStoreAndPeers guards against store calls without their result.
+func TestStoreAndPeers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := metric.New()
+	r.Step(0, state.Tick{}, []state.Output{state.StoreRequest{ID: 1, Scan: "group/"}}, 0)
+	r.Step(2*time.Second, state.StoreReply{ID: 1, Result: state.StoreUnknown}, nil, 0)
+	r.PeerSent(7)
+	g.Expect(text(r)).To(gomega.And(
+		gomega.ContainSubstring(`apricotgrade_store_calls_total{operation="scan",result="unknown"} 1`),
+		gomega.ContainSubstring(`apricotgrade_store_call_seconds_sum{operation="scan"} 2`),
+		gomega.ContainSubstring(`apricotgrade_peer_bytes_total{direction="sent"} 7`),
+	))
+}
