Serve the operator API with its own listener and keys

Operators could neither see nor change a running node. The API offers status, audit trail, declarations in force, order outcomes, plan and the changes, with typed errors, on a listener of its own.

The client moves to the next server only when nothing was done.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -39,6 +39,7 @@
 	targets  *target.Client
 	links    Links
 	log      *slog.Logger
+	observer Observer
 
 	start     time.Time
 	inputs    chan state.Input
@@ -169,7 +170,7 @@
 }
 
 func (d *Daemon) step(ctx context.Context, in state.Input) (exit bool) {
-	for _, out := range d.node.Step(time.Since(d.start), in) {
+	for _, out := range d.stepCore(in) {
 		if d.carryOut(ctx, out) {
 			exit = true
 		}
--- /dev/null
+++ b/pkg/operator/change.go
@@ -0,0 +1,164 @@
+package operator
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/apricotgrade/apricotgrade/pkg/apierror"
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	"github.com/apricotgrade/apricotgrade/pkg/declaration"
+)
+
+func (s *Server) apply(r *http.Request, operator string) (any, error) {
+	change, err := readChange(r)
+	if err != nil {
+		return nil, err
+	}
+	doc, err := declaration.Parse("declarations", []byte(change.Declarations))
+	if err != nil {
+		return nil, err
+	}
+	// The preset in force must still exist afterwards.
+	var preset string
+	s.daemon.View(func(t *state.Tables) { preset = t.Config.Head.Preset })
+	if preset != "" && !hasPreset(doc, preset) {
+		return nil, invalid("declarations", "preset "+preset+" is in force and not declared; declare it, or put another preset in force first")
+	}
+	return s.operate(r.Context(), operator, change, state.OperatorCommand{Action: state.ActionApply, Document: &doc})
+}
+
+func (s *Server) preset(r *http.Request, operator string) (any, error) {
+	change, err := readChange(r)
+	if err != nil {
+		return nil, err
+	}
+	_, doc, err := s.document()
+	if err != nil {
+		return nil, err
+	}
+	if !hasPreset(doc, change.Preset) {
+		return nil, unknown("preset", change.Preset, presetNames(doc))
+	}
+	return s.operate(r.Context(), operator, change, state.OperatorCommand{Action: state.ActionPreset, Preset: change.Preset})
+}
+
+func (s *Server) out(r *http.Request, operator string) (any, error) {
+	return s.move(r, operator, state.ActionOut)
+}
+
+func (s *Server) in(r *http.Request, operator string) (any, error) {
+	return s.move(r, operator, state.ActionIn)
+}
+
+// move takes a data centre or a target out of service or back in.
+func (s *Server) move(r *http.Request, operator string, action state.OperatorAction) (any, error) {
+	change, err := readChange(r)
+	if err != nil {
+		return nil, err
+	}
+	_, doc, err := s.document()
+	if err != nil {
+		return nil, err
+	}
+	switch {
+	case (change.DataCentre == "") == (change.Target == ""):
+		return nil, invalid("data_centre", "name either a data centre or a target")
+	case change.DataCentre != "" && !declared(doc.DataCentres, func(d state.DataCentreSpec) string { return string(d.Name) }, change.DataCentre):
+		return nil, unknown("data_centre", change.DataCentre, dataCentreNames(doc))
+	case change.Target != "" && action == state.ActionOut && !slices.Contains(targetNames(doc), change.Target):
+		return nil, unknown("target", change.Target, targetNames(doc))
+	}
+	return s.operate(r.Context(), operator, change, state.OperatorCommand{
+		Action: action, DataCentre: state.DataCentre(change.DataCentre), Target: state.TargetID(change.Target),
+	})
+}
+
+func (s *Server) forget(r *http.Request, operator string) (any, error) {
+	change, err := readChange(r)
+	if err != nil {
+		return nil, err
+	}
+	if _, _, err := s.document(); err != nil {
+		return nil, err
+	}
+	var nodes []string
+	var self string
+	s.daemon.View(func(t *state.Tables) {
+		self = string(t.Self.ID)
+		for _, n := range t.Config.Head.Nodes {
+			nodes = append(nodes, string(n.ID))
+		}
+	})
+	switch {
+	case !slices.Contains(nodes, change.Node):
+		return nil, unknown("node", change.Node, nodes)
+	case change.Node == self:
+		return nil, invalid("node", "node "+self+" is alive and answers this request; stop it with SIGTERM in place of forgetting it")
+	}
+	return s.operate(r.Context(), operator, change, state.OperatorCommand{Action: state.ActionForget, Node: state.NodeID(change.Node)})
+}
+
+// operate gives the command to the core. A caller that goes away does not
+// change what happens to the command.
+func (s *Server) operate(ctx context.Context, operator string, change Change, command state.OperatorCommand) (any, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), changeTimeout)
+	defer cancel()
+	command.Operator, command.Base, command.AtUnixMilli = operator, state.Version(change.Base), time.Now().UnixMilli()
+	reply, err := s.daemon.Operate(ctx, command)
+	if err != nil {
+		return nil, apierror.New(apierror.KindUnknown, "change_outcome_unknown",
+			"the change was not decided in time and may still take effect; read the status and the audit trail before repeating it", apierror.Unknown)
+	}
+	if reply.Error != nil {
+		return nil, reply.Error
+	}
+	return ChangeReply{Version: uint64(reply.Version), Accepted: reply.Accepted, Missing: texts(reply.Missing)}, nil
+}
+
+func unknown(param, value string, names []string) *apierror.Error {
+	list := strings.Join(names, ", ")
+	if list == "" {
+		list = "nothing, as none is known"
+	}
+	e := apierror.New(apierror.KindNotFound, "unknown_"+param, param+" \""+value+"\" is not known; name one of "+list, apierror.NotRun)
+	e.Param = param
+	return e
+}
+
+func hasPreset(doc state.Document, name string) bool {
+	return declared(doc.Presets, func(p state.PresetSpec) string { return p.Name }, name)
+}
+
+func presetNames(doc state.Document) []string {
+	var names []string
+	for _, p := range doc.Presets {
+		names = append(names, p.Name)
+	}
+	return names
+}
+
+func dataCentreNames(doc state.Document) []string {
+	var names []string
+	for _, d := range doc.DataCentres {
+		names = append(names, string(d.Name))
+	}
+	return names
+}
+
+// targetNames lists the destinations of requests: groups, and replicas of
+// plain services.
+func targetNames(doc state.Document) []string {
+	var names []string
+	for _, g := range doc.Groups {
+		names = append(names, string(g.Name))
+	}
+	for _, svc := range doc.Services {
+		for _, r := range svc.Replicas {
+			names = append(names, svc.Name+"/"+r.Name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/pkg/operator/client.go
@@ -0,0 +1,165 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/apricotgrade/apricotgrade/pkg/apierror"
+	"github.com/apricotgrade/apricotgrade/pkg/inifile"
+)
+
+const (
+	// dialTimeout is short, so that a dead entry host costs little.
+	dialTimeout = 2 * time.Second
+	// replyTimeout exceeds the time in which a server decides a change.
+	replyTimeout  = changeTimeout + 5*time.Second
+	maxReplyBytes = 64 << 20
+)
+
+// Client calls the operator API of one of several entry daemons. It is safe
+// for concurrent use.
+type Client struct {
+	servers []string
+	key     string
+	http    *http.Client
+}
+
+// NewClient returns a client. Servers are base URLs in order of preference.
+func NewClient(servers []string, key string) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	// A transport without keep-alive never replays a request on a connection
+	// that broke.
+	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
+	trimmed := make([]string, 0, len(servers))
+	for _, s := range servers {
+		trimmed = append(trimmed, strings.TrimSuffix(s, "/"))
+	}
+	return &Client{servers: trimmed, key: key, http: &http.Client{Transport: transport, Timeout: replyTimeout}}
+}
+
+// Status returns the status of the first entry daemon that answers.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var s Status
+	return s, c.read(ctx, http.MethodGet, pathStatus, nil, &s)
+}
+
+// Audit returns the latest entries of the audit trail after a version.
+func (c *Client) Audit(ctx context.Context, since uint64, limit int) (Audit, error) {
+	var a Audit
+	query := url.Values{"since": {strconv.FormatUint(since, 10)}, "limit": {strconv.Itoa(limit)}}
+	return a, c.read(ctx, http.MethodGet, pathAudit+"?"+query.Encode(), nil, &a)
+}
+
+// Declarations returns the declarations in force.
+func (c *Client) Declarations(ctx context.Context) (Declarations, error) {
+	var d Declarations
+	return d, c.read(ctx, http.MethodGet, pathDeclarations, nil, &d)
+}
+
+// Order returns the outcome of a request that may not be repeated.
+func (c *Client) Order(ctx context.Context, account, key string) (Order, error) {
+	var o Order
+	return o, c.read(ctx, http.MethodGet, pathOrders+url.PathEscape(account)+"/"+url.PathEscape(key), nil, &o)
+}
+
+// Plan returns what applying the declarations would change.
+func (c *Client) Plan(ctx context.Context, declarations string) (Plan, error) {
+	var p Plan
+	return p, c.read(ctx, http.MethodPost, pathPlan, Change{Declarations: declarations}, &p)
+}
+
+// read tries the servers in order. Reading has no effect, so any failure to
+// answer moves on to the next one.
+func (c *Client) read(ctx context.Context, method, path string, in, out any) error {
+	var last error
+	for _, server := range c.servers {
+		last = c.call(ctx, server, method, path, in, out)
+		if last == nil || ctx.Err() != nil {
+			return last
+		}
+		var typed *apierror.Error
+		if errors.As(last, &typed) && typed.Status() < http.StatusInternalServerError {
+			return last
+		}
+	}
+	return last
+}
+
+// call makes one request to one server. An error of the server is a typed
+// error, or problems of declarations that wrap none.
+func (c *Client) call(ctx context.Context, server, method, path string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return errors.Wrap(err, "encode request")
+		}
+		body = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, server+path, body)
+	if err != nil {
+		return errors.Wrap(err, "build request")
+	}
+	req.GetBody = nil
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	req.Header.Set("Content-Type", "application/json")
+	res, err := c.http.Do(req)
+	if err != nil {
+		return transportError(server, err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	b, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes))
+	if err != nil {
+		return transportError(server, err)
+	}
+	if res.StatusCode == http.StatusOK {
+		return errors.Wrap(json.Unmarshal(b, out), "decode answer of "+server)
+	}
+	return serverError(server, res.StatusCode, b)
+}
+
+func serverError(server string, status int, body []byte) error {
+	var failure ErrorBody
+	if err := json.Unmarshal(body, &failure); err != nil || failure.Error == nil {
+		return apierror.New(apierror.KindUnknown, "not_an_operator_api",
+			server+" answered with status "+strconv.Itoa(status)+" and no typed error; check that --server names the operator listener", apierror.Unknown)
+	}
+	if len(failure.Problems) > 0 {
+		return &RefusedError{Refusal: failure.Error, Problems: failure.Problems}
+	}
+	return failure.Error
+}
+
+// transportError tells a server that could not be reached, to which nothing
+// was sent, from one whose answer was lost.
+func transportError(server string, err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return apierror.New(apierror.KindUnavailable, "server_down",
+			"cannot reach "+server+" ("+op.Err.Error()+"); name another entry host with --server", apierror.NotRun)
+	}
+	return apierror.New(apierror.KindUnknown, "answer_lost",
+		"the answer of "+server+" was lost ("+err.Error()+"); read the status before repeating a change", apierror.Unknown)
+}
+
+// RefusedError is a refusal of declarations with all their faults.
+type RefusedError struct {
+	Refusal  *apierror.Error
+	Problems inifile.Problems
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string { return e.Refusal.Error() + "\n" + e.Problems.Error() }
+
+// Unwrap returns the typed error.
+func (e *RefusedError) Unwrap() error { return e.Refusal }
--- /dev/null
+++ b/pkg/operator/handler.go
@@ -0,0 +1,199 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/zeromicro/go-zero/rest/pathvar"
+
+	"github.com/apricotgrade/apricotgrade/pkg/apierror"
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	"github.com/apricotgrade/apricotgrade/pkg/declaration"
+	"github.com/apricotgrade/apricotgrade/pkg/inifile"
+)
+
+// defaultAudit is the number of audit entries without a limit.
+const defaultAudit = 100
+
+func (s *Server) status(*http.Request, string) (any, error) {
+	var status Status
+	s.daemon.View(func(t *state.Tables) { status = NewStatus(t, s.daemon.Now()) })
+	return status, nil
+}
+
+func (s *Server) declarations(*http.Request, string) (any, error) {
+	version, doc, err := s.document()
+	if err != nil {
+		return nil, err
+	}
+	return Declarations{Version: uint64(version), Text: declaration.Format(doc)}, nil
+}
+
+// document returns the document in force. It is shared with the tables, which
+// replace it and never change it.
+func (s *Server) document() (state.Version, state.Document, error) {
+	var version state.Version
+	var doc state.Document
+	known := false
+	s.daemon.View(func(t *state.Tables) { version, doc, known = t.Config.Head.Version, t.Config.Document, t.Config.Known })
+	if !known {
+		return 0, doc, apierror.New(apierror.KindUnavailable, "no_configuration",
+			"this node has no configuration yet; ask another node or wait until it is ready", apierror.NotRun).After(time.Second)
+	}
+	return version, doc, nil
+}
+
+func (s *Server) audit(r *http.Request, _ string) (any, error) {
+	since, limit := uint64(0), defaultAudit
+	var err error
+	if v := r.URL.Query().Get("since"); v != "" {
+		if since, err = strconv.ParseUint(v, 10, 64); err != nil {
+			return nil, invalid("since", "since must be a version number")
+		}
+	}
+	if v := r.URL.Query().Get("limit"); v != "" {
+		if limit, err = strconv.Atoi(v); err != nil || limit < 1 {
+			return nil, invalid("limit", "limit must be a number of at least 1")
+		}
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), storeTimeout)
+	defer cancel()
+	rows, err := s.tables.Scan(ctx, state.PrefixAudit)
+	if err != nil {
+		return nil, storeDown(err)
+	}
+	audit := Audit{Entries: []AuditEntry{}}
+	for _, row := range rows {
+		var record state.AuditRecord
+		if err := state.Decode(row.Value, &record); err != nil {
+			return nil, errors.Wrap(err, row.Key)
+		}
+		if uint64(record.Version) > since {
+			audit.Entries = append(audit.Entries, auditEntry(record))
+		}
+	}
+	if extra := len(audit.Entries) - limit; extra > 0 {
+		audit.Entries = audit.Entries[extra:]
+	}
+	return audit, nil
+}
+
+func auditEntry(r state.AuditRecord) AuditEntry {
+	return AuditEntry{
+		Version: uint64(r.Version), Operator: r.Operator, Action: r.Action, Before: r.Before, After: r.After,
+		Time: time.UnixMilli(r.AtUnixMilli).UTC().Format(time.RFC3339),
+	}
+}
+
+var claimStates = map[state.ClaimPhase]string{
+	state.ClaimHeld: "in_flight", state.ClaimNotRun: "not_run", state.ClaimDone: "done", state.ClaimUnknown: "unknown",
+}
+
+var claimOutcomes = map[state.ClaimPhase]apierror.Outcome{
+	state.ClaimNotRun: apierror.NotRun, state.ClaimDone: apierror.Done, state.ClaimUnknown: apierror.Unknown,
+}
+
+func (s *Server) order(r *http.Request, _ string) (any, error) {
+	vars := pathvar.Vars(r)
+	account, errAccount := url.PathUnescape(vars["account"])
+	key, errKey := url.PathUnescape(vars["key"])
+	if errAccount != nil || errKey != nil {
+		return nil, invalid("key", "account and key must be escaped as path segments")
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), storeTimeout)
+	defer cancel()
+	rows, err := s.tables.Read(ctx, []string{state.KeyClaim(state.AccountID(account), key)})
+	if err != nil {
+		return nil, storeDown(err)
+	}
+	if len(rows) == 0 {
+		return nil, apierror.New(apierror.KindNotFound, "no_claim",
+			"no request of this account has claimed this key; check the account and the key", apierror.NotRun)
+	}
+	var row state.ClaimRow
+	if err := state.Decode(rows[0].Value, &row); err != nil {
+		return nil, errors.Wrap(err, rows[0].Key)
+	}
+	order := Order{
+		Account: account, Key: key, State: claimStates[row.Phase], Outcome: claimOutcomes[row.Phase],
+		Service: row.Service, Request: string(row.Request), Node: string(row.Holder),
+	}
+	if row.Answer != nil {
+		order.Status, order.Answer = row.Answer.Status, string(row.Answer.Body)
+	}
+	return order, nil
+}
+
+func (s *Server) plan(r *http.Request, _ string) (any, error) {
+	change, err := readChange(r)
+	if err != nil {
+		return nil, err
+	}
+	doc, err := declaration.Parse("declarations", []byte(change.Declarations))
+	if err != nil {
+		return nil, err
+	}
+	version, present, err := s.document()
+	if err != nil {
+		return nil, err
+	}
+	return Plan{Base: uint64(version), Changes: append(declaration.Changes{}, declaration.Diff(present, doc)...)}, nil
+}
+
+func readChange(r *http.Request) (Change, error) {
+	var change Change
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&change); err != nil {
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			return change, apierror.New(apierror.KindTooLarge, "body_too_large", "the body is over 4 MiB; send less", apierror.NotRun)
+		}
+		return change, invalid("", "the body is not valid: "+strings.TrimPrefix(err.Error(), "json: ")+"; docs/operations.md lists the fields")
+	}
+	return change, nil
+}
+
+func invalid(param, message string) *apierror.Error {
+	e := apierror.New(apierror.KindInvalid, "invalid_value", message, apierror.NotRun)
+	e.Param = param
+	return e
+}
+
+func storeDown(err error) *apierror.Error {
+	return apierror.New(apierror.KindStoreDown, "table_service_down",
+		fmt.Sprintf("the platform's table service does not answer (%s); try again later", err), apierror.NotRun).After(time.Second)
+}
+
+// writeError answers with the typed error that err is or holds.
+func writeError(w http.ResponseWriter, err error) {
+	var problems inifile.Problems
+	var typed *apierror.Error
+	body := ErrorBody{}
+	switch {
+	case errors.As(err, &problems):
+		body.Problems = problems
+		typed = apierror.New(apierror.KindInvalid, "invalid_declarations",
+			fmt.Sprintf("the declarations have %d faults; correct all that are listed", len(problems)), apierror.NotRun)
+	case errors.As(err, &typed):
+	default:
+		typed = apierror.New(apierror.KindInternal, "internal", err.Error()+"; report this fault", apierror.Unknown)
+	}
+	body.Error = typed
+	if typed.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int((typed.RetryAfter+time.Second-1)/time.Second)))
+	}
+	writeJSON(w, typed.Status(), body)
+}
+
+func declared[T any, K comparable](items []T, name func(T) K, want K) bool {
+	return slices.ContainsFunc(items, func(item T) bool { return name(item) == want })
+}
