Add the operator command line and the development mode

Flags may follow arguments, which google/subcommands does not offer, because the name of a preset comes to mind before its flags. apply sends the version of the plan that it shows, so that it never applies what the operator has not seen.

dev runs two nodes, the platform in memory, engines and an order service in one process.

--- /dev/null
+++ b/pkg/command/command_test.go
@@ -0,0 +1,158 @@
+package command_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/apricotgrade/apricotgrade/pkg/apierror"
+	"github.com/apricotgrade/apricotgrade/pkg/command"
+	"github.com/apricotgrade/apricotgrade/pkg/operator"
+)
+
+// run runs a command line and returns its exit code and outputs.
+func run(t *testing.T, stdin string, args ...string) (code int, out, errOut string) {
+	t.Helper()
+	for _, c := range command.All() {
+		if c.Name() != args[0] {
+			continue
+		}
+		var stdout, stderr bytes.Buffer
+		f := flag.NewFlagSet(c.Name(), flag.ContinueOnError)
+		f.SetOutput(&stderr)
+		c.SetFlags(f)
+		if err := f.Parse(args[1:]); err != nil {
+			return command.ExitUsage, "", stderr.String()
+		}
+		code = c.Run(context.Background(), f, strings.NewReader(stdin), &stdout, &stderr)
+		return code, stdout.String(), stderr.String()
+	}
+	t.Fatalf("no command %s", args[0])
+	return 0, "", ""
+}
+
+const good = `[account a]
+key_sha256 = 9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08
+[data_centre north]
+[preset ordinary]
+`
+
+func file(t *testing.T, content string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "d.ini")
+	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// TestCheck guards against a check that needs a server, stops at the first
+// fault or returns the wrong code.
+func TestCheck(t *testing.T) {
+	g := gomega.NewWithT(t)
+	code, _, _ := run(t, "", "check", file(t, good))
+	g.Expect(code).To(gomega.Equal(command.ExitOK))
+	code, _, _ = run(t, good, "check", "-")
+	g.Expect(code).To(gomega.Equal(command.ExitOK))
+	code, _, text := run(t, "", "check", file(t, good+"[group g]\nmembers = 0\ncolour = red\n"))
+	g.Expect(code).To(gomega.Equal(command.ExitInvalid))
+	g.Expect(text).To(gomega.ContainSubstring("[group g] members = 0"))
+	g.Expect(text).To(gomega.ContainSubstring("[group g] colour: unknown key"))
+	code, _, text = run(t, "", "check")
+	g.Expect(code).To(gomega.Equal(command.ExitUsage))
+	g.Expect(text).To(gomega.ContainSubstring("apricotgrade check"))
+	code, _, _ = run(t, "", "check", "/nonexistent")
+	g.Expect(code).To(gomega.Equal(command.ExitFailure))
+}
+
+// TestHash guards against a hash that declarations do not accept as the hash
+// of the key.
+func TestHash(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, out, _ := run(t, "test\n", "hash")
+	g.Expect(out).To(gomega.Equal("9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08\n"))
+	code, _, _ := run(t, "", "hash")
+	g.Expect(code).To(gomega.Equal(command.ExitFailure))
+}
+
+// fake answers every change with one error or reply, and the status with one
+// that is not accepted at node n2.
+func fake(t *testing.T, refusal *apierror.Error) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var answer any = operator.Status{Version: 5, Accepted: 4, Nodes: []operator.NodeStatus{
+			{ID: "n1", Version: 5}, {ID: "n2", Address: "127.0.0.1:2", Version: 4},
+		}}
+		if r.Method == http.MethodPost {
+			answer = operator.ChangeReply{Version: 5}
+			if refusal != nil {
+				answer = operator.ErrorBody{Error: refusal}
+				w.WriteHeader(refusal.Status())
+			}
+		}
+		_ = json.NewEncoder(w).Encode(answer)
+	}))
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+// TestExitCodes guards against scripts that cannot tell a refused change from
+// one that may have happened or is not yet in force.
+func TestExitCodes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	conflict := apierror.New(apierror.KindConflict, "changed", "plan again", apierror.NotRun)
+	code, _, text := run(t, "", "preset", "peak", "--key", "k", "--server", fake(t, conflict))
+	g.Expect(code).To(gomega.Equal(command.ExitRefused))
+	g.Expect(text).To(gomega.ContainSubstring("plan again"))
+
+	code, _, text = run(t, "", "out", "north", "--key", "k", "--server", fake(t, nil), "--wait", "300ms")
+	g.Expect(code).To(gomega.Equal(command.ExitNotInForce))
+	g.Expect(text).To(gomega.ContainSubstring("not in force at: n2 at 127.0.0.1:2 (has version 4)"))
+
+	code, out, _ := run(t, "", "out", "--key", "k", "--server", fake(t, nil), "--wait", "0", "north")
+	g.Expect(code).To(gomega.Equal(command.ExitOK))
+	g.Expect(out).To(gomega.Equal("version 5 committed\n"))
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	down := "http://" + listener.Addr().String()
+	_ = listener.Close()
+	code, _, _ = run(t, "", "in", "north", "--key", "k", "--server", down)
+	g.Expect(code).To(gomega.Equal(command.ExitUnreachable))
+	code, _, _ = run(t, "", "status", "--key", "k", "--server", down, "--server", fake(t, nil))
+	g.Expect(code).To(gomega.Equal(command.ExitOK))
+
+	unknown := apierror.New(apierror.KindUnknown, "x", "read the status", apierror.Unknown)
+	code, _, _ = run(t, "", "preset", "peak", "--key", "k", "--server", fake(t, unknown))
+	g.Expect(code).To(gomega.Equal(command.ExitUnknown))
+
+	t.Setenv("APRICOTGRADE_KEY", "")
+	code, _, _ = run(t, "", "status")
+	g.Expect(code).To(gomega.Equal(command.ExitUsage))
+	code, _, _ = run(t, "", "status", "--server", "127.0.0.1:1")
+	g.Expect(code).To(gomega.Equal(command.ExitUsage))
+}
+
+// TestKeyFile guards against a key with the line end of its file.
+func TestKeyFile(t *testing.T) {
+	g := gomega.NewWithT(t)
+	seen := ""
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seen = r.Header.Get("Authorization")
+		_ = json.NewEncoder(w).Encode(operator.Audit{})
+	}))
+	defer server.Close()
+	code, _, _ := run(t, "", "audit", "--server", server.URL, "--key-file", file(t, "secret\n"))
+	g.Expect(code).To(gomega.Equal(command.ExitOK))
+	g.Expect(seen).To(gomega.Equal("Bearer secret"))
+}
--- /dev/null
+++ b/pkg/command/declare.go
@@ -0,0 +1,136 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"io"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/apricotgrade/apricotgrade/pkg/declaration"
+)
+
+// defaultWait covers the time in which a change is in force everywhere, with
+// a margin for a node that has just stopped.
+const defaultWait = 30 * time.Second
+
+// readDeclarations reads a file, or standard input for "-", and checks it.
+func readDeclarations(e *env, path string) (string, error) {
+	var b []byte
+	var err error
+	if path == "-" {
+		b, err = io.ReadAll(e.in)
+	} else {
+		b, err = os.ReadFile(path)
+	}
+	if err != nil {
+		return "", errors.Wrap(err, "read declarations")
+	}
+	_, err = declaration.Parse(path, b)
+	return string(b), err
+}
+
+func newCheck() *Command {
+	return &Command{
+		name: "check", args: "FILE", synopsis: "check declarations without a server",
+		help: "Reports all faults at once. FILE \"-\" is standard input.",
+		run: func(_ context.Context, e *env, args []string) error {
+			if len(args) != 1 {
+				return errUsage
+			}
+			if _, err := readDeclarations(e, args[0]); err != nil {
+				return err
+			}
+			fprintln(e.out, args[0]+": no faults")
+			return nil
+		},
+	}
+}
+
+func newPlan() *Command {
+	asJSON := false
+	return &Command{
+		name: "plan", args: "FILE", synopsis: "show what applying declarations would change", remote: true,
+		flags: func(f *flag.FlagSet) { f.BoolVar(&asJSON, "json", false, "print JSON") },
+		run: func(ctx context.Context, e *env, args []string) error {
+			if len(args) != 1 {
+				return errUsage
+			}
+			text, err := readDeclarations(e, args[0])
+			if err != nil {
+				return err
+			}
+			plan, err := e.client.Plan(ctx, text)
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				return writeJSON(e.out, plan)
+			}
+			printPlan(e.out, plan.Base, plan.Changes)
+			return nil
+		},
+	}
+}
+
+func printPlan(out io.Writer, base uint64, changes declaration.Changes) {
+	if len(changes) == 0 {
+		fprintf(out, "no changes to version %d\n", base)
+		return
+	}
+	fprintf(out, "%d changes to version %d:\n%s\n", len(changes), base, changes)
+}
+
+func newApply() *Command {
+	var wait time.Duration
+	var base uint64
+	return &Command{
+		name: "apply", args: "FILE", synopsis: "put declarations in force and wait until they are in force everywhere", remote: true,
+		help: "Shows the plan first. The change is refused when the configuration has changed since the plan.",
+		flags: func(f *flag.FlagSet) {
+			setWait(f, &wait)
+			f.Uint64Var(&base, "base", 0, "version that an earlier plan was made against (default the version of the plan shown)")
+		},
+		run: func(ctx context.Context, e *env, args []string) error {
+			if len(args) != 1 {
+				return errUsage
+			}
+			text, err := readDeclarations(e, args[0])
+			if err != nil {
+				return err
+			}
+			plan, err := e.client.Plan(ctx, text)
+			if err != nil {
+				return err
+			}
+			printPlan(e.out, plan.Base, plan.Changes)
+			if len(plan.Changes) == 0 {
+				return nil
+			}
+			if base == 0 {
+				base = plan.Base
+			}
+			reply, err := e.client.Apply(ctx, text, base)
+			return settle(ctx, e, wait, reply, err)
+		},
+	}
+}
+
+func newExport() *Command {
+	return &Command{
+		name: "export", synopsis: "print the declarations in force", remote: true,
+		run: func(ctx context.Context, e *env, args []string) error {
+			if len(args) != 0 {
+				return errUsage
+			}
+			d, err := e.client.Declarations(ctx)
+			if err != nil {
+				return err
+			}
+			fprintf(e.out, "# version %d\n\n%s", d.Version, d.Text)
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/pkg/command/dev.go
@@ -0,0 +1,74 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/apricotgrade/apricotgrade/pkg/dev"
+	"github.com/apricotgrade/apricotgrade/pkg/node"
+)
+
+// devReadyTimeout bounds the start of the development mode.
+const devReadyTimeout = 60 * time.Second
+
+func newDev() *Command {
+	var listen, admin string
+	verbose := false
+	return &Command{
+		name: "dev", synopsis: "run the whole system in one process with stand-ins",
+		help: "Two entry nodes, an in-memory platform, four replica groups in two data centres and an order service.\nEnds on an interrupt; a second interrupt cuts open requests off.",
+		flags: func(f *flag.FlagSet) {
+			f.StringVar(&listen, "listen", dev.DefaultListen, "address for callers of the first node")
+			f.StringVar(&admin, "admin-listen", dev.DefaultAdmin, "address for operators of the first node")
+			f.BoolVar(&verbose, "verbose", false, "log all events and not only errors")
+		},
+		run: func(ctx context.Context, e *env, args []string) error {
+			if len(args) != 0 {
+				return errUsage
+			}
+			level := slog.LevelError
+			if verbose {
+				level = slog.LevelDebug
+			}
+			log := slog.New(slog.NewTextHandler(e.err, &slog.HandlerOptions{Level: level}))
+			return runDev(ctx, e, dev.Options{Listen: listen, Admin: admin, Log: log})
+		},
+	}
+}
+
+func runDev(ctx context.Context, e *env, o dev.Options) error {
+	node.QuietLibraries()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	system, err := dev.New(ctx, o)
+	if err != nil {
+		return err
+	}
+	defer system.Close()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
+	go func() {
+		<-signals
+		system.Shutdown()
+		<-signals
+		cancel()
+	}()
+	system.Print(e.out)
+	go func() {
+		wait, stop := context.WithTimeout(ctx, devReadyTimeout)
+		defer stop()
+		if err := system.Ready(wait); err != nil {
+			fprintln(e.err, "not ready:", err)
+			return
+		}
+		fprintln(e.out, "ready")
+	}()
+	system.Run(ctx)
+	return nil
+}
--- /dev/null
+++ b/pkg/command/read.go
@@ -0,0 +1,98 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"io"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+)
+
+func writeJSON(out io.Writer, v any) error {
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return errors.Wrap(encoder.Encode(v), "print JSON")
+}
+
+func newStatus() *Command {
+	asJSON := false
+	return &Command{
+		name: "status", synopsis: "show what the first entry daemon that answers knows", remote: true,
+		flags: func(f *flag.FlagSet) { f.BoolVar(&asJSON, "json", false, "print JSON") },
+		run: func(ctx context.Context, e *env, args []string) error {
+			if len(args) != 0 {
+				return errUsage
+			}
+			status, err := e.client.Status(ctx)
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				return writeJSON(e.out, status)
+			}
+			return printStatus(e.out, status)
+		},
+	}
+}
+
+func newOrder() *Command {
+	asJSON := false
+	return &Command{
+		name: "order", args: "ACCOUNT KEY", synopsis: "show the outcome of a request that may not be repeated", remote: true,
+		help:  "KEY is the Idempotency-Key of the request.",
+		flags: func(f *flag.FlagSet) { f.BoolVar(&asJSON, "json", false, "print JSON") },
+		run: func(ctx context.Context, e *env, args []string) error {
+			if len(args) != 2 {
+				return errUsage
+			}
+			order, err := e.client.Order(ctx, args[0], args[1])
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				return writeJSON(e.out, order)
+			}
+			w := tabwriter.NewWriter(e.out, 0, 0, 2, ' ', 0)
+			fprintf(w, "state\t%s\nservice\t%s\nrequest\t%s\nnode\t%s\n", order.State, order.Service, order.Request, order.Node)
+			if order.Status != 0 {
+				fprintf(w, "status\t%d\nanswer\t%s\n", order.Status, order.Answer)
+			}
+			return errors.Wrap(w.Flush(), "print order")
+		},
+	}
+}
+
+// defaultAudit is the number of audit entries that are shown by default.
+const defaultAudit = 20
+
+func newAudit() *Command {
+	asJSON, since, limit := false, uint64(0), 0
+	return &Command{
+		name: "audit", synopsis: "show the latest changes of the configuration", remote: true,
+		flags: func(f *flag.FlagSet) {
+			f.BoolVar(&asJSON, "json", false, "print JSON")
+			f.Uint64Var(&since, "since", 0, "only versions after this one")
+			f.IntVar(&limit, "limit", defaultAudit, "most entries to show")
+		},
+		run: func(ctx context.Context, e *env, args []string) error {
+			if len(args) != 0 {
+				return errUsage
+			}
+			audit, err := e.client.Audit(ctx, since, limit)
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				return writeJSON(e.out, audit)
+			}
+			w := tabwriter.NewWriter(e.out, 0, 0, 2, ' ', 0)
+			fprintln(w, "VERSION\tTIME\tOPERATOR\tACTION\tBEFORE\tAFTER")
+			for _, a := range audit.Entries {
+				fprintf(w, "%d\t%s\t%s\t%s\t%s\t%s\n", a.Version, a.Time, a.Operator, a.Action, a.Before, a.After)
+			}
+			return errors.Wrap(w.Flush(), "print audit trail")
+		},
+	}
+}
--- /dev/null
+++ b/pkg/dev/dev.go
@@ -0,0 +1,201 @@
+// Package dev runs the whole system in one process for development: two entry
+// nodes, the in-memory platform, engines and an order service.
+package dev
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	"github.com/apricotgrade/apricotgrade/pkg/node"
+	"github.com/apricotgrade/apricotgrade/pkg/operator"
+	"github.com/apricotgrade/apricotgrade/pkg/platform/memory"
+	"github.com/apricotgrade/apricotgrade/pkg/settings"
+	"github.com/apricotgrade/apricotgrade/pkg/standin"
+)
+
+// Keys and addresses of the development mode.
+const (
+	CallerKey     = "dev"
+	OperatorKey   = "dev-operator"
+	DefaultListen = "127.0.0.1:8080"
+	DefaultAdmin  = "127.0.0.1:8090"
+)
+
+const (
+	groups = 4
+	// hostsPerDomain holds two groups of two members and one spare.
+	hostsPerDomain = 5
+	// drainNotice is short, as there is no load balancer to wait for.
+	drainNotice   = 100 * time.Millisecond
+	headerTimeout = 10 * time.Second
+)
+
+// Options are those of the development mode. Empty addresses mean the defaults.
+type Options struct {
+	Listen string
+	Admin  string
+	Log    *slog.Logger
+}
+
+// System is a running development system.
+type System struct {
+	// Nodes are the two entry nodes.
+	Nodes   []*node.Node
+	Service *standin.Service
+	Store   *memory.Store
+	servers []*http.Server
+}
+
+// New opens all listeners and seeds the configuration.
+func New(ctx context.Context, o Options) (*System, error) {
+	s := &System{Service: standin.NewService(), Store: memory.New()}
+	if err := s.build(ctx, o); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *System) build(ctx context.Context, o Options) error {
+	orders, err := s.serve(s.Service.Handler())
+	if err != nil {
+		return err
+	}
+	doc := standin.DemoDocument(groups, orders)
+	var hosts []state.ListedHost
+	for _, dc := range doc.DataCentres {
+		for i := range hostsPerDomain {
+			address, err := s.serve(standin.NewEngine(state.Incarnation(time.Now().UnixNano())).Handler())
+			if err != nil {
+				return err
+			}
+			hosts = append(hosts, state.ListedHost{
+				ID: state.HostID(fmt.Sprintf("%s-h%d", dc.Name, i+1)), Address: address,
+				DataCentre: dc.Name, Domain: state.DomainID(dc.Name) + "-d1",
+			})
+		}
+	}
+	s.Store.SetHosts(hosts)
+	if err := standin.Seed(ctx, s.Store, doc); err != nil {
+		return err
+	}
+	return s.addNodes(o, doc)
+}
+
+func (s *System) addNodes(o Options, doc state.Document) error {
+	if o.Listen == "" {
+		o.Listen = DefaultListen
+	}
+	if o.Admin == "" {
+		o.Admin = DefaultAdmin
+	}
+	ports := [][2]string{{o.Listen, o.Admin}, {freePort(o.Listen), freePort(o.Admin)}}
+	for i, listen := range ports {
+		n, err := node.New(settings.Node{
+			ID: fmt.Sprintf("n%d", i+1), DataCentre: string(doc.DataCentres[i].Name),
+			Listen: listen[0], Admin: listen[1], Peer: "127.0.0.1:0", PeerKey: "dev-peer", Drain: drainNotice,
+			Operators: []settings.Operator{{Name: "dev", Key: OperatorKey}},
+		}, s.Store, o.Log.With(slog.String("node", fmt.Sprintf("n%d", i+1))))
+		if err != nil {
+			return err
+		}
+		s.Nodes = append(s.Nodes, n)
+	}
+	return nil
+}
+
+// freePort returns the address with port 0.
+func freePort(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return "127.0.0.1:0"
+	}
+	return net.JoinHostPort(host, "0")
+}
+
+// serve runs a stand-in on a free port of the loopback interface.
+func (s *System) serve(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "listen for a stand-in")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	s.servers = append(s.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
+// Run runs the nodes until all have shut down. Cancelling the context ends
+// them at once.
+func (s *System) Run(ctx context.Context) {
+	done := make(chan struct{}, len(s.Nodes))
+	for _, n := range s.Nodes {
+		go func() {
+			n.Run(ctx)
+			done <- struct{}{}
+		}()
+	}
+	for range s.Nodes {
+		<-done
+	}
+}
+
+// Shutdown begins a graceful shutdown of all nodes.
+func (s *System) Shutdown() {
+	for _, n := range s.Nodes {
+		n.Shutdown()
+	}
+}
+
+// Close stops the stand-ins.
+func (s *System) Close() {
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+}
+
+// readyPeriod is the period in which Ready looks at the nodes.
+const readyPeriod = 50 * time.Millisecond
+
+// Ready waits until every node is ready and every replica group is whole.
+func (s *System) Ready(ctx context.Context) error {
+	for {
+		missing := ""
+		for _, n := range s.Nodes {
+			if m := notServing(n.Status()); m != "" {
+				missing = m
+			}
+		}
+		if missing == "" {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), missing)
+		case <-time.After(readyPeriod):
+		}
+	}
+}
+
+// notServing says what is missing at a node, or nothing.
+func notServing(s operator.Status) string {
+	if !s.Node.Ready {
+		return "node " + s.Node.ID + " is not ready"
+	}
+	if len(s.Groups) < groups {
+		return "node " + s.Node.ID + " knows no replica groups"
+	}
+	for _, g := range s.Groups {
+		if !g.Whole {
+			return "replica group " + g.Name + " is not whole at node " + s.Node.ID
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/pkg/dev/print.go
@@ -0,0 +1,44 @@
+package dev
+
+import (
+	"fmt"
+	"io"
+)
+
+// Print writes the addresses, the keys and three commands to try.
+func (s *System) Print(w io.Writer) {
+	first, second := s.Nodes[0], s.Nodes[1]
+	_, _ = fmt.Fprintf(w, `apricotgrade development mode: two entry nodes, four replica groups in two data centres, an order service
+
+callers      http://%s   key %s
+operators    http://%s   key %s
+second node  http://%s   operators http://%s
+
+Try:
+
+%s
+
+`, first.CallerAddress(), CallerKey, first.AdminAddress(), OperatorKey,
+		second.CallerAddress(), second.AdminAddress(), s.commands())
+}
+
+// Commands returns the commands to try, one line each.
+func (s *System) Commands() []string {
+	caller, admin := s.Nodes[0].CallerAddress(), s.Nodes[0].AdminAddress()
+	return []string{
+		fmt.Sprintf(`curl -sN http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' -d '{"model":"draft","stream":true,"messages":[{"role":"user","content":"Header copy for gondola ends"}]}'`, caller, CallerKey),
+		fmt.Sprintf(`curl -s http://%s/services/orders/orders -H 'Authorization: Bearer %s' -H 'Idempotency-Key: order-1' -H 'Content-Type: application/json' -d '{"item":"gondola end header","count":2}'`, caller, CallerKey),
+		fmt.Sprintf(`curl -s http://%s/operator/status -H 'Authorization: Bearer %s'`, admin, OperatorKey),
+	}
+}
+
+func (s *System) commands() string {
+	text := ""
+	for i, c := range s.Commands() {
+		if i > 0 {
+			text += "\n\n"
+		}
+		text += "  " + c
+	}
+	return text
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -77,6 +77,16 @@
 // AdminAddress returns the address of the listener for operators.
 func (n *Node) AdminAddress() string { return n.admin.Addr().String() }
 
+// Status returns what the node knows, as the operator API reports it.
+func (n *Node) Status() operator.Status {
+	var status operator.Status
+	n.daemon.View(func(t *state.Tables) { status = operator.NewStatus(t, n.daemon.Now()) })
+	return status
+}
+
+// Done is closed when the node has shut down.
+func (n *Node) Done() <-chan struct{} { return n.daemon.Done() }
+
 // Shutdown begins a graceful shutdown. A second call changes nothing.
 func (n *Node) Shutdown() { n.daemon.Feed(state.Shutdown{}) }
 
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -92,6 +92,11 @@
 			return last
 		}
 	}
+	var typed *apierror.Error
+	if errors.As(last, &typed) && typed.Kind == apierror.KindUnknown {
+		// A lost answer leaves nothing unknown, as reading has no effect.
+		return apierror.New(apierror.KindUnavailable, typed.Code, typed.Message, apierror.NotRun)
+	}
 	return last
 }
 
