--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -40,6 +40,7 @@
 	targets  *target.Client
 	links    Links
 	log      *slog.Logger
+	observer Observer
 
 	start     time.Time
 	inputs    chan state.Input
@@ -188,12 +189,7 @@
 }
 
 func (d *Daemon) step(ctx context.Context, in state.Input) (exit bool) {
-	began := time.Now()
-	outputs := d.node.Step(began.Sub(d.start), in)
-	d.counters.Steps.Add(1)
-	d.counters.StepTime.Add(int64(time.Since(began)))
-	d.publish()
-	for _, out := range outputs {
+	for _, out := range d.stepCore(in) {
 		if d.carryOut(ctx, out) {
 			exit = true
 		}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -15,6 +15,8 @@
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 	"github.com/apricotgrade/apricotgrade/pkg/daemon"
 	"github.com/apricotgrade/apricotgrade/pkg/gateway"
+	"github.com/apricotgrade/apricotgrade/pkg/metric"
+	"github.com/apricotgrade/apricotgrade/pkg/operator"
 	"github.com/apricotgrade/apricotgrade/pkg/peer"
 	"github.com/apricotgrade/apricotgrade/pkg/platform"
 	"github.com/apricotgrade/apricotgrade/pkg/settings"
@@ -26,12 +28,14 @@
 
 // Node is an entry daemon with open listeners.
 type Node struct {
-	daemon  *daemon.Daemon
-	log     *slog.Logger
-	callers net.Listener
-	peers   net.Listener
-	server  *gateway.Server
-	links   *peer.Links
+	daemon   *daemon.Daemon
+	log      *slog.Logger
+	callers  net.Listener
+	peers    net.Listener
+	admin    net.Listener
+	server   *gateway.Server
+	operator http.Handler
+	links    *peer.Links
 }
 
 // New opens the listeners of an entry daemon. A nil platform means the client
@@ -40,17 +44,12 @@
 	if p == nil {
 		p = platform.NewClient(cfg.Platform, &http.Client{})
 	}
-	callers, err := net.Listen("tcp", cfg.Listen)
+	listeners, err := listen(cfg)
 	if err != nil {
-		return nil, errors.Wrap(err, "listen for callers; choose a free address in setting listen")
-	}
-	peers, err := net.Listen("tcp", cfg.Peer)
-	if err != nil {
-		_ = callers.Close()
-		return nil, errors.Wrap(err, "listen for peers; choose a free address in setting peer_listen")
+		return nil, err
 	}
 	self := state.Self{
-		ID: state.NodeID(cfg.ID), DataCentre: state.DataCentre(cfg.DataCentre), Address: cfg.PeerAddress,
+		ID: state.NodeID(cfg.ID), DataCentre: state.DataCentre(cfg.DataCentre), Address: advertised(cfg, listeners.peers),
 		Incarnation: state.Incarnation(time.Now().UnixNano()), DrainNotice: cfg.Drain,
 	}
 	targets := target.New()
@@ -59,14 +58,35 @@
 	d := daemon.New(core, p, targets, links, log)
 	links.Start(d.Feed)
 	g := gateway.New(d, targets, gateway.Options{TokenKey: []byte(cfg.PeerKey), Log: log})
+	recorder := metric.New()
+	d.Observe(recorder)
+	api, err := operator.NewServer(d, p, recorder, cfg.Operators).Handler()
+	if err != nil {
+		listeners.close()
+		return nil, err
+	}
 	return &Node{
-		daemon: d, log: log, callers: callers, peers: peers, server: gateway.NewServer(g.Handler()), links: links,
+		daemon: d, log: log, callers: listeners.callers, peers: listeners.peers, admin: listeners.admin,
+		server: gateway.NewServer(g.Handler()), operator: api, links: links,
 	}, nil
 }
 
 // CallerAddress returns the address of the listener for callers.
 func (n *Node) CallerAddress() string { return n.callers.Addr().String() }
 
+// AdminAddress returns the address of the listener for operators.
+func (n *Node) AdminAddress() string { return n.admin.Addr().String() }
+
+// Status returns what the node knows, as the operator API reports it.
+func (n *Node) Status() operator.Status {
+	var status operator.Status
+	n.daemon.View(func(t *state.Tables) { status = operator.NewStatus(t, n.daemon.Now()) })
+	return status
+}
+
+// Done is closed when the node has shut down.
+func (n *Node) Done() <-chan struct{} { return n.daemon.Done() }
+
 // Shutdown begins a graceful shutdown. A second call changes nothing.
 func (n *Node) Shutdown() { n.daemon.Feed(state.Shutdown{}) }
 
@@ -74,7 +94,9 @@
 // written. Cancelling the context ends it at once and cuts requests off.
 func (n *Node) Run(ctx context.Context) {
 	peers := &http.Server{Handler: n.links.Handler(), ReadHeaderTimeout: headerTimeout}
+	admin := &http.Server{Handler: n.operator, ReadHeaderTimeout: headerTimeout}
 	go n.serve(ctx, n.peers, peers.Serve)
+	go n.serve(ctx, n.admin, admin.Serve)
 	go n.serve(ctx, n.callers, n.server.Serve)
 	n.log.LogAttrs(ctx, slog.LevelInfo, "node listens",
 		slog.String("callers", n.CallerAddress()), slog.String("peers", n.peers.Addr().String()))
@@ -88,6 +110,7 @@
 	}
 	n.links.Close()
 	_ = peers.Close()
+	_ = admin.Close()
 }
 
 func (n *Node) serve(ctx context.Context, listener net.Listener, serve func(net.Listener) error) {
@@ -95,3 +118,41 @@
 		n.log.LogAttrs(ctx, slog.LevelError, "listener failed", slog.String("address", listener.Addr().String()), slog.Any("error", err))
 	}
 }
+
+type listeners struct{ callers, peers, admin net.Listener }
+
+// listen opens the listeners of a node, all or none.
+func listen(cfg settings.Node) (listeners, error) {
+	var l listeners
+	for _, want := range []struct {
+		address, setting string
+		listener         *net.Listener
+	}{
+		{cfg.Listen, "listen", &l.callers}, {cfg.Peer, "peer_listen", &l.peers}, {cfg.Admin, "admin_listen", &l.admin},
+	} {
+		listener, err := net.Listen("tcp", want.address)
+		if err != nil {
+			l.close()
+			return l, errors.Wrapf(err, "choose a free address in setting %s", want.setting)
+		}
+		*want.listener = listener
+	}
+	return l, nil
+}
+
+func (l listeners) close() {
+	for _, listener := range []net.Listener{l.callers, l.peers, l.admin} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
+// advertised returns the address at which peers reach this node: the setting,
+// or the listener's own where that chose its port.
+func advertised(cfg settings.Node, peers net.Listener) string {
+	if _, port, err := net.SplitHostPort(cfg.PeerAddress); err == nil && port != "0" {
+		return cfg.PeerAddress
+	}
+	return peers.Addr().String()
+}
