--- a/pkg/core/state/message.go
+++ b/pkg/core/state/message.go
@@ -17,6 +17,16 @@
 	ClaimAnswer    *ClaimAnswer    `cbor:"7,keyasint,omitempty"`
 	OutcomeQuery   *OutcomeQuery   `cbor:"8,keyasint,omitempty"`
 	OutcomeAnswer  *OutcomeAnswer  `cbor:"9,keyasint,omitempty"`
+	GroupNotice    *GroupNotice    `cbor:"10,keyasint,omitempty"`
+}
+
+// GroupNotice passes on the row of a replica group that changed, with its
+// revision in the table service, so that nodes need no scan to see the change.
+// A node that holds this revision or a later one ignores it.
+type GroupNotice struct {
+	Group    GroupID  `cbor:"1,keyasint"`
+	Revision uint64   `cbor:"2,keyasint"`
+	Row      GroupRow `cbor:"3,keyasint"`
 }
 
 // PollRequest asks a peer for everything that expires. The asker dates the
@@ -47,9 +57,16 @@
 	// Loads and Usage hold the sender's own counts that changed.
 	Loads []TargetCount  `cbor:"10,keyasint,omitempty"`
 	Usage []AccountValue `cbor:"11,keyasint,omitempty"`
+	// Unreached lists the registered nodes that have not answered the sender
+	// for the removal time.
+	Unreached []NodeID `cbor:"12,keyasint,omitempty"`
+	// Blind lists the data centres of which the sender reaches less than half
+	// of the hosts that it probes.
+	Blind []DataCentre `cbor:"13,keyasint,omitempty"`
 }
 
-// Verdict is a watcher's word on a replica group.
+// Verdict is a watcher's word on a replica group. A negative age takes it
+// back, because the sender no longer watches the group.
 type Verdict struct {
 	Group        GroupID       `cbor:"1,keyasint"`
 	Fence        Fence         `cbor:"2,keyasint"`
--- a/pkg/core/state/row.go
+++ b/pkg/core/state/row.go
@@ -33,6 +33,12 @@
 	Accepted Version
 	// PreviousNodes is the registry of the version before Head.
 	PreviousNodes []NodeEntry
+	// CaughtUp is set once the platform or a majority has confirmed the copy.
+	// Until then a node sends no work and counts towards no majority.
+	CaughtUp bool
+	// Collect asks the membership system to poll every node and not only its
+	// fan-out, because a majority or reports of all nodes are needed.
+	Collect bool
 }
 
 // Peer is another entry daemon. Written by the membership system.
@@ -47,7 +53,22 @@
 	// Version is the configuration version that it reported, dated VersionAt.
 	Version   Version
 	VersionAt time.Duration
-	Leaving   bool
+	// CaughtUp, Accepted and EvidenceAt are what it reported with Version.
+	// EvidenceAt is on this node's clock; negative means none.
+	CaughtUp   bool
+	Accepted   Version
+	EvidenceAt time.Duration
+	// SilentSince is the send time of the first poll without an answer, or the
+	// time since when there is no link; 0 when the last poll was answered.
+	SilentSince time.Duration
+	// Unreachable is set when the peer has been silent for the removal time.
+	Unreachable bool
+	// Unreached lists the nodes that are unreachable for the peer.
+	Unreached []NodeID
+	// Blind lists the data centres of which the peer reaches less than half of
+	// the hosts that it probes. It is no witness of dead members there.
+	Blind   []DataCentre
+	Leaving bool
 	// Loads and Usage are the peer's own counts of requests in flight, sorted.
 	Loads []TargetCount
 	Usage []AccountValue
@@ -118,6 +139,8 @@
 	// Whole is the last verdict, dated WholeAt by the oldest probe behind it.
 	Whole   bool
 	WholeAt time.Duration
+	// Judged is set once a watcher or this node has a verdict, whole or not.
+	Judged bool
 	// Incarnations are those of the members, in the order of Members.
 	Incarnations []Incarnation
 	// Straggler is set when a member is much slower than the others.
@@ -145,6 +168,16 @@
 	Fence   Fence      `cbor:"3,keyasint"`
 	Phase   GroupPhase `cbor:"4,keyasint"`
 	Op      OpID       `cbor:"5,keyasint"`
+	// DataCentre is that of the members: the holder of its lease owns the row.
+	DataCentre DataCentre `cbor:"6,keyasint,omitempty"`
+	// Model, Version, Adapters and Role are what the members are to serve.
+	Model    string   `cbor:"7,keyasint,omitempty"`
+	Version  string   `cbor:"8,keyasint,omitempty"`
+	Adapters []string `cbor:"9,keyasint,omitempty"`
+	Role     string   `cbor:"10,keyasint,omitempty"`
+	// Order is what brings the members into this state: OrderLoad, or
+	// OrderRole when only the role changed.
+	Order OrderKind `cbor:"11,keyasint,omitempty"`
 }
 
 // HostRow is the value of table row "host/<id>".
@@ -204,6 +237,15 @@
 	PeerInFlight int
 	// SentSinceReport counts attempts that the last report cannot include.
 	SentSinceReport int
+	// ColdBase is the completed count at which the target last turned cold in
+	// its present incarnation: work before it does not raise the limit.
+	ColdBase int64
+	// SuspectAt is when Suspect was set.
+	SuspectAt time.Duration
+	// Leaving is set while the target or a host of it is leaving.
+	Leaving bool
+	// Idle is set while the configuration gives the target no new work.
+	Idle bool
 }
 
 // LoadAnswer is a target's load report.
@@ -259,7 +301,7 @@
 
 // Request is a request of a caller. Arrival fields never change; Phase, Target
 // and Attempt are written by the admission system through its dispatch, Claim
-// fields by the claims system, Next by the retry system. The end columns are
+// fields by the claims system, what follows from attempts by the retry system. The end columns are
 // written only by EndWithRefusal and EndWithAnswer.
 type Request struct {
 	Arrival RequestArrived
@@ -283,11 +325,15 @@
 	CallerGone bool
 	// Gate is the state of the request's claim.
 	Gate ClaimGate
-	// Running is set from the start of an attempt until its last event. Written
-	// by the admission system.
-	Running bool
-	// Next is what follows the end of an attempt.
-	Next NextStep
+	// Finished is the number of the last attempt that ended. Written by the
+	// retry system.
+	Finished int
+	// MayHaveRun is set once an attempt ended with another outcome than not
+	// run. Written by the retry system.
+	MayHaveRun bool
+	// Next is what follows the end of attempt Finished, not before NextAt.
+	Next   NextStep
+	NextAt time.Duration
 }
 
 // ClaimPhase is the phase of a claim.
