--- a/pkg/bench/decisions/decisions.go
+++ b/pkg/bench/decisions/decisions.go
@@ -109,7 +109,7 @@
 func memberDies(opts scenario.Options) string {
 	w := settled(opts)
 	w.Load(rate, 20*time.Second, nil)
-	w.After(3*time.Second, func() { act(w, "kill", "host", "h2") })
+	w.After(3*time.Second, func() { act(w, "crash", "host", "h2") })
 	w.Run(time.Minute)
 	refused := 0
 	for _, n := range w.Metrics.Refused {
@@ -123,7 +123,7 @@
 	w := settled(opts)
 	w.Run(5 * time.Second)
 	before := w.Metrics
-	act(w, "kill", "host", "h2")
+	act(w, "crash", "host", "h2")
 	w.Run(time.Minute)
 	return w.Metrics.Downtime - before.Downtime, w.Metrics.Stranded - before.Stranded
 }
@@ -232,7 +232,7 @@
 	w.Run(10 * time.Second)
 	w.Nodes[0].Operate(state.OperatorCommand{Action: state.ActionOut, DataCentre: "coast"}, nil)
 	w.Run(5 * time.Second)
-	act(w, "domain", "kill", "coast-0")
+	act(w, "domain", "crash", "coast-0")
 	w.Run(20 * time.Second)
 	act(w, "domain", "restart", "coast-0")
 	w.Run(10 * time.Second)
--- a/pkg/scenario/action.go
+++ b/pkg/scenario/action.go
@@ -31,7 +31,7 @@
 }
 
 var actions = map[string]action{
-	"kill":     {2, lifeAction((*Node).Kill, (*Engine).Kill, func(s *Service) { s.Alive = false })},
+	"crash":    {2, lifeAction((*Node).Kill, (*Engine).Kill, func(s *Service) { s.Alive = false })},
 	"restart":  {2, lifeAction((*Node).Start, (*Engine).Restart, func(s *Service) { s.Alive = true })},
 	"pause":    {2, lifeAction((*Node).Pause, (*Engine).Pause, nil)},
 	"resume":   {2, lifeAction((*Node).Resume, (*Engine).Resume, nil)},
@@ -87,7 +87,7 @@
 			continue
 		}
 		switch args[0] {
-		case "kill":
+		case "crash":
 			e.Kill()
 		case "restart":
 			e.Restart()
--- a/pkg/scenario/attempt.go
+++ b/pkg/scenario/attempt.go
@@ -33,6 +33,8 @@
 	done bool
 	// silent is set when the connection has gone silent.
 	silent bool
+	// buffered is the end of what has reached the node's socket.
+	buffered int64
 }
 
 // generation is the work of an engine on one request. It goes on without a
@@ -139,13 +141,18 @@
 	case !e.Alive:
 		a.end(state.FailureConnect, apierror.NotRun)
 		return
-	case e.Paused:
+	case e.stalled():
 		w.After(inactivity, func() { a.end(state.FailureSilent, apierror.Unknown) })
 		return
 	case e.Answer.Phase != state.PhaseReady:
 		a.end(state.FailureRefused, apierror.NotRun)
 		return
 	}
+	if !e.whole(w.Options.Members) {
+		// The engine of a group that has lost a member accepts and breaks.
+		w.After(sameCentre, func() { a.end(state.FailureBroken, apierror.Unknown) })
+		return
+	}
 	if a.start.Resume != nil && a.resume() {
 		return
 	}
@@ -208,14 +215,21 @@
 	})
 }
 
-func (a *attempt) live() bool { return !a.done && !a.silent && !a.engine.Paused }
+func (a *attempt) live() bool { return !a.done && !a.silent && !a.engine.stalled() }
 
 // deliver passes on to the caller what the generation has by now.
 func (a *attempt) deliver() {
+	a.buffered = max(a.buffered, a.generation.offset(a.world.Now))
+	a.passOn()
+}
+
+// passOn passes on to the caller what has reached the node. A paused node
+// keeps it in its socket.
+func (a *attempt) passOn() {
 	if a.req.Lost || a.node.Paused || a.req.generation != a.generation.id {
 		return
 	}
-	a.req.received = max(a.req.received, a.generation.offset(a.world.Now))
+	a.req.received = max(a.req.received, a.buffered)
 }
 
 // breakAttempts ends everything that an engine runs.
--- a/pkg/scenario/engine.go
+++ b/pkg/scenario/engine.go
@@ -152,6 +152,20 @@
 	return ready >= size
 }
 
+// stalled reports whether a member of the engine's group is paused, so that the
+// group makes no progress.
+func (e *Engine) stalled() bool {
+	if e.Paused {
+		return true
+	}
+	for _, m := range e.world.members(e.Answer.Group, e.Answer.Fence) {
+		if m.Paused {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *World) probe(n *Node, p state.Probe) {
 	fail := state.ProbeResult{Host: p.Host, SentAt: p.SentAt}
 	e := w.Engine(p.Host)
--- a/pkg/scenario/node.go
+++ b/pkg/scenario/node.go
@@ -95,6 +95,11 @@
 func (n *Node) Resume() {
 	n.Paused = false
 	n.world.Log("resume %s", n.ID)
+	for _, r := range n.world.order {
+		if r.Node == n.ID && r.attempt != nil && r.attempt.generation != nil {
+			r.attempt.passOn()
+		}
+	}
 	held := n.held
 	n.held = nil
 	for _, in := range held {
--- a/pkg/scenario/random_test.go
+++ b/pkg/scenario/random_test.go
@@ -54,9 +54,9 @@
 // kinds are the commands of which schedules are made. A word in angle brackets
 // is drawn from the list of that name.
 var kinds = []string{
-	"kill host <host>", "restart host <host>", "pause host <host>", "resume host <host>", "cold host <host>",
-	"kill node <node>", "restart node <node>", "pause node <node>", "resume node <node>", "shutdown node <node>",
-	"domain kill <centre>-0", "domain restart <centre>-0", "isolate <centre>",
+	"crash host <host>", "restart host <host>", "pause host <host>", "resume host <host>", "cold host <host>",
+	"crash node <node>", "restart node <node>", "pause node <node>", "resume node <node>", "shutdown node <node>",
+	"domain crash <centre>-0", "domain restart <centre>-0", "isolate <centre>",
 	"cut <node> <node>", "cut <node> table", "cut <node> <host>", "cut-one-way <node> <node>",
 	"cut-one-way table <node>", "cut-one-way <node> table", "heal", "silence <node>",
 	"platform down", "platform silent", "platform slow 800ms", "platform lose 50", "platform up", "platform up",
