Load a group again when a member holds something else

Cause: a group that had loaded was loaded again only when a member answered that it was empty. An order from long ago that reaches an engine which ignores fencing numbers leaves it ready with another model, and the group then stayed not whole. The spec of that failure passes now.

--- a/pkg/core/placement/order_test.go
+++ b/pkg/core/placement/order_test.go
@@ -153,6 +153,19 @@
 		Expect(loads()).To(Equal([]int{1, 1, 1}))
 	})
 
+	It("undo a stray one that an engine has followed", func() {
+		// Guards against a group that stays down because an order from long ago
+		// reached an engine that ignores numbers.
+		for _, e := range r.engines {
+			e.answer.ChecksFence = false
+		}
+		start()
+		fence := r.group("g1").Fence
+		r.engines[r.ids[1]].order(r, state.EngineOrder{Host: r.ids[1], Kind: state.OrderLoad, Group: "g0", Model: "old"})
+		r.until(30*time.Second, "loaded again", func() bool { return r.serving("g1") && r.group("g1").Fence > fence })
+		Expect(r.engines[r.ids[1]].answer.Model).To(Equal("draft"))
+	})
+
 	It("get a higher number when an engine holds a higher one than its row", func() {
 		// Guards against a group that never loads because of a number from
 		// elsewhere, as after the table service was restored.
--- a/pkg/core/placement/plan.go
+++ b/pkg/core/placement/plan.go
@@ -106,7 +106,7 @@
 		return ch
 	case g.renumber >= row.Fence && g.renumber != 0:
 		return s.reload(g, spec)
-	case row.Phase == state.GroupServing && s.restarted(now, g):
+	case row.Phase == state.GroupServing && s.lostLoad(now, g):
 		return s.reload(g, spec)
 	case row.Phase == state.GroupLoading && s.allLoaded(now, g):
 		ch := &change{event: event.GroupServing, group: g.id, row: *row}
@@ -122,16 +122,22 @@
 	return ch
 }
 
-// restarted reports whether a member of a group that has loaded answers that
-// it has lost what it loaded.
-func (s *System) restarted(now time.Duration, g *group) bool {
+// lostLoad reports whether a member of a group that has loaded answers that
+// it holds something else: it restarted, or a stray order reached an engine that
+// ignores fencing numbers.
+func (s *System) lostLoad(now time.Duration, g *group) bool {
 	shared := s.t.Groups.Get(g.id)
 	if shared == nil || (shared.Whole && now-shared.WholeAt < wholeFor) {
 		return false
 	}
 	return slices.ContainsFunc(g.row.Members, func(m state.HostID) bool {
 		h := s.host(m)
-		return h.okAt > g.touchedAt && h.answer.Phase == state.PhaseEmpty
+		if h.okAt <= g.touchedAt {
+			return false
+		}
+		a := &h.answer
+		return a.Phase == state.PhaseEmpty || (a.Phase == state.PhaseReady &&
+			(!g.alike(a) || (a.ChecksFence && a.Fence != g.row.Fence)))
 	})
 }
 
