Measure the slopes of control cost

Cause: the page on capacity has to show from measured slopes that the design scale needs no second design.

Requests arrive at the rate of the design scale, so that counts change as they do under load; the request path is not measured.

Processor time is that of the process times the part of the wall time spent in cores and codecs: the wall time alone counts other processes of a busy machine, the process's time alone counts the fakes.

No figures yet: the thin membership in this tree probes every host from every node, so a run here says nothing about the design.

--- /dev/null
+++ b/pkg/bench/slopes/node.go
@@ -0,0 +1,188 @@
+package slopes
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/apricotgrade/apricotgrade/pkg/apierror"
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+)
+
+func (n *node) tick() {
+	n.feed(state.Tick{})
+	n.c.after(state.TickPeriod, n.tick)
+}
+
+// arrive sends a request, so that counts in flight and usage change as they do
+// under load.
+func (n *node) arrive() {
+	n.arrived++
+	n.feed(state.RequestArrived{
+		ID:      state.RequestID(fmt.Sprintf("%s-%d", n.id, n.arrived)),
+		Account: accountName(n.c.rand.IntN(n.c.load.Accounts)), Model: "m", Stream: true,
+		Timeout: 30 * time.Second, Cost: 100,
+	})
+	n.c.after(time.Second/requestsPerNode, n.arrive)
+}
+
+// feed gives an input to the core and carries out what it wants.
+func (n *node) feed(in state.Input) {
+	var outputs []state.Output
+	n.c.inNode(func() { outputs = n.core.Step(n.c.now, in) })
+	for _, out := range outputs {
+		n.carryOut(out)
+	}
+}
+
+func (n *node) carryOut(out state.Output) {
+	c := n.c
+	switch out := out.(type) {
+	case state.SendPeer:
+		n.send(out)
+	case state.StoreRequest:
+		n.useStore(out)
+	case state.FetchHosts:
+		c.after(storeDelay, n.listHosts)
+	case state.Probe:
+		c.after(probeDelay, func() {
+			e := c.engines[state.HostID(out.Address)]
+			answer := e.answer
+			answer.Latency = probeDelay
+			n.feed(state.ProbeResult{Host: out.Host, SentAt: out.SentAt, OK: true, Answer: answer})
+		})
+	case state.FetchLoad:
+		c.after(probeDelay, func() {
+			n.feed(state.LoadReport{Target: out.Target, SentAt: out.SentAt, OK: true, Answer: c.engines[state.HostID(out.Address)].load})
+		})
+	case state.EngineOrder:
+		c.after(probeDelay, func() { n.feed(c.order(out)) })
+	case state.StartAttempt:
+		n.attempt(out)
+	}
+}
+
+// send carries a message over a link, with its real encoding.
+func (n *node) send(out state.SendPeer) {
+	c, to := n.c, n.c.byID[out.To]
+	var frame []byte
+	c.inNode(func() { frame = encodeFrame(out.Message) })
+	c.meter.peerBytes += int64(len(frame) + frameOverhead)
+	c.after(peerDelay, func() {
+		var m state.Message
+		var err error
+		c.inNode(func() { err = cbor.Unmarshal(frame, &m) })
+		if err == nil {
+			to.feed(state.PeerMessage{From: n.id, Message: m})
+		}
+	})
+}
+
+// useStore carries out a store request, with the encoding of the platform's
+// client.
+func (n *node) useStore(req state.StoreRequest) {
+	c := n.c
+	if req.Transact != nil {
+		var body []byte
+		c.inNode(func() { body = encodeJSON(req.Transact) })
+		c.meter.tableBytes += int64(len(body))
+	}
+	c.after(storeDelay, func() {
+		reply := c.execute(req)
+		body := encodeJSON(reply.Rows)
+		c.meter.tableBytes += int64(len(body))
+		var rows []state.StoreRow
+		var err error
+		c.inNode(func() { err = json.Unmarshal(body, &rows) })
+		if err != nil {
+			reply.Result = state.StoreUnknown
+		}
+		reply.Rows = rows
+		n.feed(reply)
+	})
+}
+
+func (c *cluster) execute(req state.StoreRequest) state.StoreReply {
+	ctx := context.Background()
+	reply := state.StoreReply{ID: req.ID}
+	switch {
+	case req.Transact != nil:
+		c.meter.writes++
+		res, err := c.store.Transact(ctx, *req.Transact)
+		if err != nil {
+			reply.Result = state.StoreUnknown
+			return reply
+		}
+		reply.Result, reply.Rows = res.Result, res.Rows
+	case req.Scan != "":
+		c.meter.reads++
+		reply.Rows, _ = c.store.Scan(ctx, req.Scan)
+	default:
+		c.meter.reads++
+		reply.Rows, _ = c.store.Read(ctx, req.Read)
+	}
+	return reply
+}
+
+func (n *node) listHosts() {
+	c := n.c
+	c.meter.reads++
+	body := encodeJSON(c.list)
+	c.meter.tableBytes += int64(len(body))
+	var list []state.ListedHost
+	var err error
+	c.inNode(func() { err = json.Unmarshal(body, &list) })
+	if err == nil {
+		n.feed(state.HostList{Hosts: list})
+	}
+}
+
+// order makes an engine load, which takes loadTime.
+func (c *cluster) order(o state.EngineOrder) state.EngineOrderResult {
+	e := c.engines[o.Host]
+	res := state.EngineOrderResult{Order: o.Order, Host: o.Host}
+	if o.Fence < e.answer.Fence {
+		res.Refused, res.Fence = true, e.answer.Fence
+		return res
+	}
+	a := &e.answer
+	a.Phase, a.Group, a.Fence = state.PhaseLoading, o.Group, o.Fence
+	a.Model, a.Version, a.Adapters = o.Model, o.Version, o.Adapters
+	if o.Kind == state.OrderUnload {
+		a.Phase = state.PhaseEmpty
+	} else {
+		c.after(loadTime, func() {
+			if a.Fence == o.Fence {
+				a.Phase = state.PhaseReady
+			}
+		})
+	}
+	res.OK, res.Fence = true, o.Fence
+	return res
+}
+
+// attempt serves a request.
+func (n *node) attempt(out state.StartAttempt) {
+	c := n.c
+	e := c.engines[state.HostID(out.Address)]
+	if e == nil {
+		return
+	}
+	e.load.Running++
+	event := state.AttemptEvent{Request: out.Request, Attempt: out.Attempt, Generation: string(out.Request), PassedOn: true}
+	c.after(firstToken, func() {
+		first := event
+		first.Stage, first.Outcome = state.AttemptFirstByte, apierror.Unknown
+		n.feed(first)
+	})
+	c.after(requestTime, func() {
+		e.load.Running--
+		e.load.Completed++
+		last := event
+		last.Stage, last.Outcome, last.Status = state.AttemptEnded, apierror.Done, 200
+		n.feed(last)
+	})
+}
--- /dev/null
+++ b/pkg/bench/slopes/plot.go
@@ -0,0 +1,89 @@
+package slopes
+
+import (
+	"os"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgimg"
+)
+
+const (
+	cellWidth  = 3.5 * vg.Inch
+	cellHeight = 2.4 * vg.Inch
+	cellPad    = 0.15 * vg.Inch
+)
+
+// drawn are the quantities in the plot; the others are in the table only.
+var drawn = []int{0, 1, 2, 3}
+
+// drawPanels makes one row of panels for each slope.
+func drawPanels(results []result) ([][]*plot.Plot, error) {
+	rows := make([][]*plot.Plot, 0, len(results))
+	for _, r := range results {
+		var row []*plot.Plot
+		for _, q := range drawn {
+			p, err := panel(r, q)
+			if err != nil {
+				return nil, err
+			}
+			row = append(row, p)
+		}
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+func panel(r result, q int) (*plot.Plot, error) {
+	p := plot.New()
+	p.X.Label.Text = r.slope.Name
+	p.Y.Label.Text = quantities[q].name + ", " + quantities[q].unit
+	p.Y.Min = 0
+	points := make(plotter.XYs, len(r.points))
+	for i := range r.points {
+		points[i].X, points[i].Y = r.slope.Values[i], quantities[q].of(r.points[i].Cost)
+	}
+	scatter, err := plotter.NewScatter(points)
+	if err != nil {
+		return nil, errors.Wrap(err, "plot points")
+	}
+	fit := r.fits[q]
+	function := plotter.NewFunction(func(x float64) float64 { return fit.intercept + fit.slope*x })
+	function.XMin, function.XMax = r.slope.Values[0], r.slope.Values[len(r.slope.Values)-1]
+	p.Add(plotter.NewGrid(), function, scatter)
+	p.Y.Min = min(0, p.Y.Min)
+	return p, nil
+}
+
+// drawPNG writes the plot in PNG form.
+func drawPNG(path string, results []result) (err error) {
+	rows, err := drawPanels(results)
+	if err != nil {
+		return err
+	}
+	img := vgimg.New(cellWidth*vg.Length(len(drawn)), cellHeight*vg.Length(len(rows)))
+	tiles := draw.Tiles{
+		Rows: len(rows), Cols: len(drawn), PadX: cellPad, PadY: cellPad,
+		PadTop: cellPad, PadBottom: cellPad, PadLeft: cellPad, PadRight: cellPad,
+	}
+	canvases := plot.Align(rows, tiles, draw.New(img))
+	for i, row := range rows {
+		for j, p := range row {
+			p.Draw(canvases[i][j])
+		}
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return errors.Wrap(err, "create plot")
+	}
+	defer func() {
+		if cerr := file.Close(); err == nil {
+			err = errors.Wrap(cerr, "close plot")
+		}
+	}()
+	_, err = vgimg.PngCanvas{Canvas: img}.WriteTo(file)
+	return errors.Wrap(err, "write plot")
+}
--- /dev/null
+++ b/pkg/bench/slopes/slopes.go
@@ -0,0 +1,173 @@
+// Package slopes measures how the control cost of a node grows: against nodes,
+// replica groups, members, client accounts and configuration changes. It drives
+// real decision cores and the real codecs in virtual time in one process, with
+// fakes only for the table service, the engines and the network. It measures no
+// data path: tokens do not pass through the core.
+package slopes
+
+import (
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Options says what to measure. The zero value of a field means its default.
+type Options struct {
+	// Warmup is the virtual time before the measurement: long enough for all
+	// groups to be formed and loaded.
+	Warmup time.Duration
+	// Window is the virtual time that is measured.
+	Window time.Duration
+	// Slopes are the slopes to measure; nil means DefaultSlopes.
+	Slopes []Slope
+	// Points are single loads to measure beside the slopes; nil means
+	// DefaultPoints.
+	Points []Load
+	// Seed drives all random choices.
+	Seed uint64
+	// Progress gets a line for each point measured; nil means none.
+	Progress io.Writer
+}
+
+// Default values of Options.
+const (
+	DefaultWarmup = 20 * time.Second
+	DefaultWindow = 10 * time.Second
+	DefaultSeed   = 1
+)
+
+// Load is the size of an installation.
+type Load struct {
+	Nodes    int
+	Replicas int
+	Members  int
+	Accounts int
+	// ChangesPerDay is the rate of configuration changes.
+	ChangesPerDay int
+}
+
+// DesignLoad is the design scale of docs/design.md, section 1.7.
+var DesignLoad = Load{Nodes: 320, Replicas: 600, Members: 8, Accounts: 10, ChangesPerDay: 1400}
+
+// base is the load from which each slope varies one value.
+var base = Load{Nodes: 24, Replicas: 60, Members: 4, Accounts: 10, ChangesPerDay: 0}
+
+// Slope varies one value of a load.
+type Slope struct {
+	Name   string
+	Loads  []Load
+	Values []float64
+}
+
+// DefaultPoints returns the loads that are measured beside the slopes.
+func DefaultPoints() []Load { return []Load{DesignLoad} }
+
+// DefaultSlopes returns the slopes for the page on capacity. Changes a day are
+// measured at higher rates than the design scale has, so that several of them
+// fall into the window.
+func DefaultSlopes() []Slope {
+	return []Slope{
+		vary("nodes", []int{8, 20, 40, 80, 160, 320}, func(l *Load, v int) { l.Nodes = v }),
+		vary("replicas", []int{50, 150, 300, 450, 600}, func(l *Load, v int) { l.Replicas = v }),
+		vary("members", []int{2, 4, 8, 12, 16}, func(l *Load, v int) { l.Members = v }),
+		vary("accounts", []int{10, 50, 100, 200, 400}, func(l *Load, v int) { l.Accounts = v }),
+		vary("changes a day", []int{0, 8640, 17280, 43200, 86400}, func(l *Load, v int) { l.ChangesPerDay = v }),
+	}
+}
+
+func vary(name string, values []int, set func(*Load, int)) Slope {
+	s := Slope{Name: name}
+	for _, v := range values {
+		l := base
+		set(&l, v)
+		s.Loads = append(s.Loads, l)
+		s.Values = append(s.Values, float64(v))
+	}
+	return s
+}
+
+// Cost is the control cost of one node.
+type Cost struct {
+	// CPU is the part of one core in percent.
+	CPU float64
+	// Memory is heap in MiB.
+	Memory float64
+	// PeerBytes are bytes sent to peers in a second.
+	PeerBytes float64
+	// Reads and Writes are operations on the table service in a second, the
+	// list of hosts included.
+	Reads  float64
+	Writes float64
+	// TableBytes are bytes read from and written to the platform in a second.
+	TableBytes float64
+}
+
+// Point is a measured load.
+type Point struct {
+	Load Load
+	Cost Cost
+	// Serving is the number of replica groups that had loaded at the end.
+	Serving int
+	// Wall is how long the measurement took.
+	Wall time.Duration
+}
+
+// minPoints is the least number of points for which a slope has an error.
+const minPoints = 3
+
+// Run measures the slopes, writes a table with linear fits to w and a plot in
+// PNG form to plotPath. An empty path means no plot.
+func Run(w io.Writer, plotPath string, opts Options) error {
+	opts = withDefaults(opts)
+	results := make([]result, 0, len(opts.Slopes))
+	for _, s := range opts.Slopes {
+		if len(s.Loads) < minPoints || len(s.Loads) != len(s.Values) {
+			return errors.Errorf("slope %q needs at least %d loads with a value each", s.Name, minPoints)
+		}
+		r := result{slope: s}
+		for _, l := range s.Loads {
+			p, err := opts.measure(l)
+			if err != nil {
+				return errors.Wrapf(err, "measure slope %q", s.Name)
+			}
+			r.points = append(r.points, p)
+		}
+		r.fit()
+		results = append(results, r)
+	}
+	var singles []Point
+	for _, l := range opts.Points {
+		p, err := opts.measure(l)
+		if err != nil {
+			return errors.Wrap(err, "measure point")
+		}
+		singles = append(singles, p)
+	}
+	if err := report(w, opts, results, singles); err != nil {
+		return err
+	}
+	if plotPath == "" {
+		return nil
+	}
+	return drawPNG(plotPath, results)
+}
+
+func withDefaults(o Options) Options {
+	if o.Warmup == 0 {
+		o.Warmup = DefaultWarmup
+	}
+	if o.Window == 0 {
+		o.Window = DefaultWindow
+	}
+	if o.Seed == 0 {
+		o.Seed = DefaultSeed
+	}
+	if o.Slopes == nil {
+		o.Slopes = DefaultSlopes()
+	}
+	if o.Points == nil {
+		o.Points = DefaultPoints()
+	}
+	return o
+}
--- /dev/null
+++ b/pkg/bench/slopes/slopes_test.go
@@ -0,0 +1,49 @@
+package slopes_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/apricotgrade/apricotgrade/pkg/bench/slopes"
+)
+
+// TestRun guards against a measurement that does not load its groups, counts
+// nothing, or writes no plot.
+func TestRun(t *testing.T) {
+	g := NewWithT(t)
+	path := filepath.Join(t.TempDir(), "slopes.png")
+	slope := slopes.Slope{Name: "nodes"}
+	for _, n := range []int{2, 4, 6} {
+		slope.Loads = append(slope.Loads, slopes.Load{Nodes: n, Replicas: 8, Members: 2, Accounts: 3, ChangesPerDay: 43200})
+		slope.Values = append(slope.Values, float64(n))
+	}
+	var out bytes.Buffer
+	var progress bytes.Buffer
+	err := slopes.Run(&out, path, slopes.Options{
+		Warmup: 12 * time.Second, Window: 4 * time.Second,
+		Slopes: []slopes.Slope{slope}, Points: []slopes.Load{slope.Loads[0]}, Progress: &progress,
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(bytes.Count(progress.Bytes(), []byte("8 serving"))).To(Equal(4), progress.String())
+	g.Expect(out.String()).To(ContainSubstring("linear fits"))
+	png, err := os.ReadFile(path)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(png).To(HavePrefix("\x89PNG"))
+}
+
+// TestRunRefusesBadLoads guards against a fit over too few points and a load
+// that no domain can hold.
+func TestRunRefusesBadLoads(t *testing.T) {
+	g := NewWithT(t)
+	short := slopes.Slope{Name: "short", Loads: make([]slopes.Load, 2), Values: []float64{1, 2}}
+	g.Expect(slopes.Run(&bytes.Buffer{}, "", slopes.Options{Slopes: []slopes.Slope{short}})).To(MatchError(ContainSubstring("short")))
+	bad := slopes.Load{Nodes: 1, Replicas: 1, Members: 100, Accounts: 1}
+	g.Expect(slopes.Run(&bytes.Buffer{}, "", slopes.Options{
+		Slopes: []slopes.Slope{}, Points: []slopes.Load{bad},
+	})).To(MatchError(ContainSubstring("out of range")))
+}
