Queue requests fairly and refuse early

A request without a free target was refused at once, and an account with many requests took all targets.

Admission is now a deficit round robin by cost in tokens over accounts, with the weights of the preset in force, four lanes inside an account (further attempts, then the three priorities) and one queue per class of requests that share targets, so that a class without room holds up no other. An account that comes back below its share of the work in flight is served first; one at its share is served last, because a trickle of requests that always goes first starves an account with a long queue. A resume that waits 2 s for its target counts as failed, and a restart elsewhere follows if nothing was passed on.

Dispatch runs on events that may free capacity, and tries each class once for each of them. Ruled out: moving the turn on at each event without room.

--- /dev/null
+++ b/pkg/core/admission/queue.go
@@ -0,0 +1,318 @@
+package admission
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+)
+
+// Lanes of one account, most urgent first: further attempts of requests that
+// were sent before, then the three priorities.
+const (
+	laneAgain = 0
+	lanes     = 4
+)
+
+// costWeight is the weight of one request in the average cost, which is the
+// quantum of an account with weight 1. A quantum far above the usual cost would
+// serve the accounts in long bursts.
+const costWeight = 32
+
+// queue is a deficit round robin over accounts. Inside an account it holds the
+// requests by lane and by class, so that a class without capacity blocks no
+// other.
+type queue struct {
+	items    map[state.RequestID]*item
+	accounts map[state.AccountID]*account
+	classes  map[string]*class
+	weights  map[state.AccountID]int
+	// ring holds the accounts with queued requests; pos is the one whose turn
+	// it is.
+	ring []*account
+	pos  int
+	// epoch numbers the changes of capacity; a class is blocked in one epoch.
+	epoch    uint64
+	seq      uint64
+	meanCost float64
+	inFlight int64
+	single   bool
+}
+
+type item struct {
+	id    state.RequestID
+	owner state.AccountID
+	seq   uint64
+	cost  int64
+	lane  int
+	class *class
+	queue *account
+	at    time.Duration
+	gone  bool
+}
+
+type account struct {
+	id      state.AccountID
+	lanes   [lanes][]*fifo
+	count   int
+	deficit int64
+	// granted is whether the account has had its quantum in this turn.
+	granted bool
+	meter   meter
+	// inFlight is the cost of the account's running attempts on this node.
+	inFlight int64
+}
+
+// fifo holds the items of one class in one lane of one account.
+type fifo struct {
+	class *class
+	items []*item
+	head  int
+	cost  int64
+}
+
+func newQueue() *queue {
+	return &queue{
+		items: map[state.RequestID]*item{}, accounts: map[state.AccountID]*account{},
+		classes: map[string]*class{}, weights: map[state.AccountID]int{}, epoch: 1, meanCost: 1,
+	}
+}
+
+// key names what a request needs from a target. Requests with one key can use
+// the same targets.
+func key(req *state.Request) string {
+	a := &req.Arrival
+	switch {
+	case a.Resume != nil:
+		return "\x00" + string(a.Resume.Target)
+	case req.Next == state.NextResume:
+		return "\x00" + string(req.Target)
+	case a.Kind == state.KindService:
+		return "\x01" + a.Service
+	case a.Version == "" && a.Adapter == "":
+		return a.Model
+	default:
+		return strings.Join([]string{a.Model, a.Version, a.Adapter}, "\x02")
+	}
+}
+
+func (q *queue) classFor(req *state.Request) *class {
+	k := key(req)
+	c := q.classes[k]
+	if c == nil {
+		c = &class{key: k}
+		q.classes[k] = c
+	}
+	return c
+}
+
+func (q *queue) accountFor(id state.AccountID) *account {
+	if q.single {
+		id = ""
+	}
+	a := q.accounts[id]
+	if a == nil {
+		a = &account{id: id}
+		q.accounts[id] = a
+	}
+	return a
+}
+
+func (q *queue) setWeight(id state.AccountID, weight int) { q.weights[id] = weight }
+
+func (q *queue) weight(id state.AccountID) int64 { return int64(max(q.weights[id], 1)) }
+
+func (q *queue) has(id state.RequestID) bool { return q.items[id] != nil }
+
+// moved reports whether a queued request needs another class than it is in.
+func (q *queue) moved(req *state.Request) bool {
+	it := q.items[req.Arrival.ID]
+	return it != nil && it.class.key != key(req)
+}
+
+func (q *queue) unblock() { q.epoch++ }
+
+func (q *queue) push(now time.Duration, req *state.Request, lane int) {
+	a, c := q.accountFor(req.Arrival.Account), q.classFor(req)
+	q.seq++
+	it := &item{
+		id: req.Arrival.ID, owner: req.Arrival.Account, seq: q.seq, cost: max(req.Arrival.Cost, 1),
+		lane: min(lane, lanes-1), class: c, queue: a, at: now,
+	}
+	q.items[it.id] = it
+	q.meanCost += (float64(it.cost) - q.meanCost) / costWeight
+	f := a.fifo(it.lane, c)
+	f.items = append(f.items, it)
+	f.cost += it.cost
+	c.meter.add(now, it.cost)
+	a.meter.add(now, it.cost)
+	a.count++
+	if a.count == 1 {
+		q.activate(a)
+	}
+}
+
+func (a *account) fifo(lane int, c *class) *fifo {
+	for _, f := range a.lanes[lane] {
+		if f.class == c {
+			return f
+		}
+	}
+	f := &fifo{class: c}
+	a.lanes[lane] = append(a.lanes[lane], f)
+	return f
+}
+
+// activate takes up an account with new demand. One with less than its share of
+// the work in flight is served first, with a credit of what it lacks; any other
+// is served last, or a steady trickle of requests would keep the turn for ever.
+func (q *queue) activate(a *account) {
+	weights := q.weight(a.id)
+	for _, other := range q.ring {
+		weights += q.weight(other.id)
+	}
+	a.deficit = max(q.inFlight*q.weight(a.id)/weights-a.inFlight, 0)
+	q.ring = append(q.ring, nil)
+	copy(q.ring[q.pos+1:], q.ring[q.pos:])
+	q.ring[q.pos] = a
+	if a.deficit == 0 && len(q.ring) > 1 {
+		q.pos++
+	}
+}
+
+func (q *queue) deactivate(a *account) {
+	a.deficit, a.granted = 0, false
+	i := slices.Index(q.ring, a)
+	q.ring = slices.Delete(q.ring, i, i+1)
+	if i < q.pos {
+		q.pos--
+	}
+	if q.pos >= len(q.ring) {
+		q.pos = 0
+	}
+}
+
+// grant gives an account its quantum, once in each of its turns.
+func (q *queue) grant(a *account) {
+	if !a.granted {
+		a.granted = true
+		a.deficit += max(int64(q.meanCost), 1) * q.weight(a.id)
+	}
+}
+
+// next returns the account's most urgent request whose class is not blocked.
+func (q *queue) next(a *account) *item {
+	for lane := range a.lanes {
+		var best *item
+		for i := 0; i < len(a.lanes[lane]); i++ {
+			f := a.lanes[lane][i]
+			it := f.first()
+			if it == nil {
+				a.lanes[lane] = append(a.lanes[lane][:i], a.lanes[lane][i+1:]...)
+				i--
+				continue
+			}
+			if f.class.blocked != q.epoch && (best == nil || it.seq < best.seq) {
+				best = it
+			}
+		}
+		if best != nil {
+			return best
+		}
+	}
+	return nil
+}
+
+// first returns the oldest item that is still there.
+func (f *fifo) first() *item {
+	for f.head < len(f.items) && f.items[f.head].gone {
+		f.items[f.head] = nil
+		f.head++
+	}
+	if f.head == len(f.items) {
+		return nil
+	}
+	if f.head > len(f.items)/2 && f.head > 64 {
+		f.items = append(f.items[:0], f.items[f.head:]...)
+		f.head = 0
+	}
+	return f.items[f.head]
+}
+
+// remove takes a request out, wherever it is in its queue.
+func (q *queue) remove(now time.Duration, id state.RequestID) (state.AccountID, bool) {
+	it := q.items[id]
+	if it == nil {
+		return "", false
+	}
+	delete(q.items, id)
+	it.gone = true
+	it.queue.fifo(it.lane, it.class).cost -= it.cost
+	it.class.meter.add(now, -it.cost)
+	it.queue.meter.add(now, -it.cost)
+	it.queue.count--
+	if it.queue.count == 0 {
+		for lane := range it.queue.lanes {
+			it.queue.lanes[lane] = nil
+		}
+		q.deactivate(it.queue)
+	}
+	return it.owner, true
+}
+
+// start takes a request out that is sent now.
+func (q *queue) start(now time.Duration, it *item) {
+	a := it.queue
+	a.deficit -= it.cost
+	a.inFlight += it.cost
+	q.inFlight += it.cost
+	if now > it.at {
+		it.class.meter.waited(now, it.cost)
+		a.meter.waited(now, it.cost)
+	}
+	q.remove(now, it.id)
+}
+
+func (q *queue) release(a attempt) {
+	q.accountFor(a.account).inFlight -= a.cost
+	q.inFlight -= a.cost
+}
+
+// representatives returns one queued request of each class.
+func (q *queue) representatives() []state.RequestID {
+	var ids []state.RequestID
+	seen := map[*class]bool{}
+	for _, a := range q.ring {
+		for _, lane := range a.lanes {
+			for _, f := range lane {
+				if it := f.first(); it != nil && !seen[f.class] {
+					seen[f.class] = true
+					ids = append(ids, it.id)
+				}
+			}
+		}
+	}
+	return ids
+}
+
+// classOf returns the queued requests of the class of a request, in order.
+func (q *queue) classOf(id state.RequestID) []state.RequestID {
+	var ids []state.RequestID
+	c := q.items[id].class
+	for _, a := range q.ring {
+		for _, lane := range a.lanes {
+			for _, f := range lane {
+				if f.class != c {
+					continue
+				}
+				for _, it := range f.items[f.head:] {
+					if !it.gone {
+						ids = append(ids, it.id)
+					}
+				}
+			}
+		}
+	}
+	return ids
+}
--- a/pkg/core/retry/attempt.go
+++ b/pkg/core/retry/attempt.go
@@ -18,6 +18,8 @@
 	// resumePause grows with each resume, so that a target that restarts its
 	// listener is found again.
 	resumePause = 200 * time.Millisecond
+	// resumeFor is how long a resume waits for its target to take work.
+	resumeFor = 2 * time.Second
 )
 
 // attempted handles progress of an attempt. Events of another attempt than the
@@ -70,18 +72,40 @@
 		req.Resumes++
 		s.t.Counters.Resumes++
 		req.Next, req.NextAt = state.NextResume, now+pause
+		s.resumes.Schedule(req.Arrival.ID, now+pause+resumeFor)
 	case s.canRestart(now, req, ev):
-		s.spend(now, req)
-		if !slices.Contains(req.Tried, req.Target) {
-			req.Tried = append(req.Tried, req.Target)
-		}
-		s.t.Counters.Retries++
-		req.Next, req.NextAt, req.Generation, req.Offset = state.NextRestart, now, "", 0
+		s.restart(now, req)
 	default:
 		s.t.EndWithRefusal(now, req, targetLost(req, ev), out)
 	}
 }
 
+// restart sends the request again from its start, elsewhere first.
+func (s *System) restart(now time.Duration, req *state.Request) {
+	s.spend(now, req)
+	if !slices.Contains(req.Tried, req.Target) {
+		req.Tried = append(req.Tried, req.Target)
+	}
+	s.t.Counters.Retries++
+	req.Next, req.NextAt, req.Generation, req.Offset = state.NextRestart, now, "", 0
+	s.t.Requests.Touch(req.Arrival.ID)
+}
+
+// resumeTimedOut gives up a resume whose target takes no work: the target
+// counts as gone.
+func (s *System) resumeTimedOut(now time.Duration, id state.RequestID, out *state.Outbox) {
+	req := s.t.Requests.Get(id)
+	if req == nil || req.Phase == state.RequestEnded || req.Running() || req.Next != state.NextResume {
+		return
+	}
+	lost := state.AttemptEvent{Failure: state.FailureConnect, Outcome: apierror.Unknown}
+	if s.canRestart(now, req, lost) {
+		s.restart(now, req)
+		return
+	}
+	s.t.EndWithRefusal(now, req, targetLost(req, lost), out)
+}
+
 // canResume reports whether the generation still runs at its target as far as
 // is known. A resume that finds no target is repeated only when a restart is
 // not possible any more.
--- a/pkg/core/retry/retry.go
+++ b/pkg/core/retry/retry.go
@@ -28,6 +28,7 @@
 	targets   map[state.TargetID]*budget
 	changed   *state.DirtySet[state.RequestID]
 	deadlines *state.DueQueue[state.RequestID]
+	resumes   *state.DueQueue[state.RequestID]
 	gone      *state.DueQueue[state.RequestID]
 	deletions *state.DueQueue[state.RequestID]
 	questions questions
@@ -39,6 +40,7 @@
 		t: t, accounts: map[state.AccountID]*budget{}, targets: map[state.TargetID]*budget{},
 		changed:   t.Requests.Subscribe(),
 		deadlines: state.NewDueQueue[state.RequestID](), gone: state.NewDueQueue[state.RequestID](),
+		resumes:   state.NewDueQueue[state.RequestID](),
 		deletions: state.NewDueQueue[state.RequestID](), questions: newQuestions(),
 	}
 }
@@ -84,6 +86,7 @@
 func (s *System) ended(req *state.Request) {
 	s.deadlines.Cancel(req.Arrival.ID)
 	s.gone.Cancel(req.Arrival.ID)
+	s.resumes.Cancel(req.Arrival.ID)
 	s.deletions.Schedule(req.Arrival.ID, req.EndedAt+keepFor)
 	req.Arrival.Prefixes = nil
 }
@@ -92,6 +95,9 @@
 	for id, ok := s.deadlines.Pop(now); ok; id, ok = s.deadlines.Pop(now) {
 		s.expired(now, id, out)
 	}
+	for id, ok := s.resumes.Pop(now); ok; id, ok = s.resumes.Pop(now) {
+		s.resumeTimedOut(now, id, out)
+	}
 	for id, ok := s.gone.Pop(now); ok; id, ok = s.gone.Pop(now) {
 		if req := s.t.Requests.Get(id); req != nil && req.CallerGone && !s.mayBeResumed(req) {
 			s.t.EndWithRefusal(now, req, callerGone(apierror.Unknown), out)
--- a/pkg/core/routing/routing.go
+++ b/pkg/core/routing/routing.go
@@ -297,6 +297,7 @@
 		return
 	}
 	s.nextHeard = now + heardFor/8
+	before := s.unheard
 	s.unheard = 0
 	for _, e := range s.t.Config.Head.Nodes {
 		peer := s.t.Peers.Get(e.ID)
@@ -304,4 +305,5 @@
 			s.unheard++
 		}
 	}
+	s.grew = s.grew || s.unheard < before
 }
