--- a/pkg/core/state/tables.go
+++ b/pkg/core/state/tables.go
@@ -51,6 +51,13 @@
 	IgnoreVersionOrder bool
 	IgnoreHostRows     bool
 	IgnoreFairness     bool
+	IgnoreOrderExpiry  bool
+	// IgnoreBudgets retries without bounds.
+	IgnoreBudgets bool
+	// IgnoreChoices always picks the target with the best score.
+	IgnoreChoices bool
+	// IgnoreColdSigns keeps the limit of a target that turned cold.
+	IgnoreColdSigns bool
 }
 
 // NewTables returns the tables of a node that knows nothing yet.
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -18,6 +18,10 @@
 	ConfigCommitted ID = 1003
 	ConfigAccepted  ID = 1004
 	ConfigConflict  ID = 1005
+	ConfigUnsettled ID = 1006
+	NodeRegistered  ID = 1007
+	NodeRemoved     ID = 1008
+	ConfigSlow      ID = 1009
 )
 
 // Events of peers: 1100 to 1199.
@@ -25,6 +29,9 @@
 	PeerUp       ID = 1100
 	PeerDown     ID = 1101
 	PeerBadFrame ID = 1102
+	PeerSilent   ID = 1103
+	WatcherBlind ID = 1104
+	WatcherSees  ID = 1105
 )
 
 // Events of replica groups: 1200 to 1299.
@@ -36,6 +43,16 @@
 	GroupGivenUp ID = 1204
 	LeaseTaken   ID = 1205
 	LeaseLost    ID = 1206
+
+	LeaseReleased     ID = 1207
+	GroupServing      ID = 1208
+	GroupMoved        ID = 1209
+	GroupReloaded     ID = 1210
+	GroupDissolved    ID = 1211
+	GroupFreed        ID = 1212
+	GroupWaiting      ID = 1213
+	OrderRefused      ID = 1214
+	PlacementConflict ID = 1215
 )
 
 // Events of requests: 1300 to 1399.
@@ -54,6 +71,7 @@
 	NodeStopped ID = 1403
 	StoreDown   ID = 1404
 	StoreUp     ID = 1405
+	DrainWaits  ID = 1406
 )
 
 // Level is the severity of an event.
@@ -81,9 +99,16 @@
 	{ConfigCommitted, Info, "configuration committed"},
 	{ConfigAccepted, Info, "configuration in force everywhere"},
 	{ConfigConflict, Warn, "configuration change lost a race"},
+	{ConfigUnsettled, Warn, "answer to a configuration change lost, reading its outcome back"},
+	{NodeRegistered, Info, "node added to the registry"},
+	{NodeRemoved, Warn, "node removed from the registry"},
+	{ConfigSlow, Warn, "configuration committed, not yet in force"},
 	{PeerUp, Info, "link to peer up"},
 	{PeerDown, Warn, "link to peer down"},
 	{PeerBadFrame, Warn, "malformed frame from peer, link closed"},
+	{PeerSilent, Warn, "peer does not answer"},
+	{WatcherBlind, Warn, "most hosts of a data centre unreachable from this node"},
+	{WatcherSees, Info, "hosts of a data centre reachable from this node again"},
 	{GroupWhole, Info, "replica group whole"},
 	{GroupBroken, Warn, "replica group not whole"},
 	{GroupFormed, Info, "replica group formed"},
@@ -91,6 +116,15 @@
 	{GroupGivenUp, Warn, "replica group given up"},
 	{LeaseTaken, Info, "placement lease taken"},
 	{LeaseLost, Warn, "placement lease lost"},
+	{LeaseReleased, Info, "placement lease released"},
+	{GroupServing, Info, "replica group loaded"},
+	{GroupMoved, Info, "replica group moved to another fabric domain"},
+	{GroupReloaded, Info, "replica group reloads"},
+	{GroupDissolved, Info, "replica group dissolved"},
+	{GroupFreed, Warn, "hosts of an abandoned replica group freed"},
+	{GroupWaiting, Warn, "no fabric domain has enough free hosts for a replica group"},
+	{OrderRefused, Warn, "engine refused an order with an old fencing number"},
+	{PlacementConflict, Warn, "placement transaction lost a race"},
 	{RequestRefused, Info, "request refused"},
 	{AttemptFailed, Warn, "attempt failed"},
 	{ClaimUnsettled, Error, "outcome of a request that may not be repeated is unknown"},
@@ -101,6 +135,7 @@
 	{NodeStopped, Info, "node stopped"},
 	{StoreDown, Warn, "platform store does not answer"},
 	{StoreUp, Info, "platform store answers again"},
+	{DrainWaits, Warn, "graceful shutdown waits for claims to be stored"},
 }
 
 // Find returns the entry of an event.
