--- a/pkg/scenario/node.go
+++ b/pkg/scenario/node.go
@@ -81,8 +81,15 @@
 }
 
 func (n *Node) stop() {
+	w := n.world
 	n.Alive, n.Ready, n.Accepting = false, false, false
-	n.world.nodeGone(n)
+	for _, peer := range w.Nodes {
+		if w.Network.Passes(string(n.ID), string(peer.ID)) {
+			// The peers' connections are reset at once.
+			w.After(w.delay(n.DataCentre, peer.DataCentre), func() { peer.setLink(n, false) })
+		}
+	}
+	w.nodeGone(n)
 }
 
 // Pause stops a node as SIGSTOP does: its inputs wait.
