Accept at once only after the version before is accepted

Cause: a change was accepted as soon as all nodes of its registry and of the one before had reported it. A node that the version before had removed is in neither, and is fresh by a read of the platform from before its removal for up to 2 s.

The immediate acceptance now needs the version before to be accepted; else the change waits for FreshFor from the moment at which a blocking set knew it.

Ruled out: refusing to commit before the version before is accepted. That makes every change wait 2 s behind a cut-off node.

--- a/pkg/core/configuration/spread.go
+++ b/pkg/core/configuration/spread.go
@@ -152,7 +152,10 @@
 	sp.update(now, &sp.blocking, blocks)
 	sp.update(now, &sp.all, every)
 	waited := sp.blocking.confirmed && now-sp.blocking.at >= FreshFor
-	if !waited && !sp.all.confirmed {
+	// Before the version before is accepted, a node that it removed may still be
+	// fresh, and is in neither registry of this version.
+	reported := sp.all.confirmed && c.Accepted+1 >= c.Head.Version
+	if !waited && !reported {
 		return
 	}
 	c.Accepted = c.Head.Version
