--- a/pkg/core/routing/filter.go
+++ b/pkg/core/routing/filter.go
@@ -62,7 +62,7 @@
 		return false
 	}
 	if row.Group != "" && !s.t.Switches.IgnoreWholeness {
-		group := s.t.Groups.Get(row.Group)
+		group := tr.group
 		if group == nil || !group.Whole || now-group.WholeAt > membership.VerdictFor {
 			return false
 		}
--- a/pkg/core/routing/routing.go
+++ b/pkg/core/routing/routing.go
@@ -44,6 +44,10 @@
 // track is what this node knows about a target besides its row.
 type track struct {
 	row *state.Target
+	// group is the row of the target's group; nil for a replica of a service.
+	group *state.Group
+	// distance is the price of the way to the target's data centre.
+	distance float64
 	// rank and oldRank are this node's places in the rendezvous order of the
 	// registry and of the one before it; negative when it is not registered.
 	rank    int
@@ -148,6 +152,7 @@
 			s.drop(id)
 			continue
 		}
+		tr.distance = s.distance[tr.row.DataCentre]
 		s.t.Targets.Touch(id)
 	}
 	s.rankAll()
@@ -211,6 +216,7 @@
 	if tr == nil {
 		return
 	}
+	tr.group = group
 	if group == nil {
 		tr.whole, tr.row.Address = false, ""
 		return
--- a/pkg/core/routing/score.go
+++ b/pkg/core/routing/score.go
@@ -54,10 +54,10 @@
 func (s *System) score(now time.Duration, tr *track, req *state.Request, hits []hit, failed state.DataCentre) float64 {
 	row := tr.row
 	score := s.load(now, tr) / float64(row.Limit)
-	if group := s.t.Groups.Get(row.Group); group != nil && group.Straggler {
+	if tr.group != nil && tr.group.Straggler {
 		score = score*stragglerFactor + stragglerCost
 	}
-	score += s.distance[row.DataCentre]
+	score += tr.distance
 	for i := range hits {
 		if hits[i].target == row.ID {
 			score -= cacheWorth * hits[i].part
