--- a/pkg/scenario/checks.go
+++ b/pkg/scenario/checks.go
@@ -135,7 +135,13 @@
 		delete(c.groups, id)
 		return
 	}
+	if row.Fence != c.groups[id].Fence {
+		// Verdicts on the former assignment hold for the same time as after the
+		// loss of a member.
+		delete(c.broken, id)
+	}
 	c.groups[id] = row
+	c.observeGroup(id)
 }
 
 func (c *Checks) hostsDisjoint() {
--- a/pkg/scenario/engine.go
+++ b/pkg/scenario/engine.go
@@ -97,6 +97,7 @@
 // Resume lets a paused engine go on.
 func (e *Engine) Resume() {
 	e.Paused = false
+	e.world.Checks.observe()
 	e.world.Log("resume %s", e.Host.ID)
 }
 
