Show what each membership rule guards against

Two faults found on the way are mended: a node that is alone in the registry never counted itself as the majority, because no peer's reply made it look; and a node that shuts down kept its watch until another input changed the live nodes.

--- a/pkg/core/configuration/configuration.go
+++ b/pkg/core/configuration/configuration.go
@@ -56,6 +56,10 @@
 		s.readHead(now, out)
 		s.fetchFromPeer(now, out)
 		s.watchRegistry(now)
+		if len(s.t.Config.Head.Nodes) == 1 {
+			// No peer's reply makes a majority of one due.
+			s.askMajority(now)
+		}
 	case state.StoreReply:
 		if s.t.OwnsReply(name, in) {
 			s.storeReplied(now, in, out)
--- a/pkg/core/configuration/evidence.go
+++ b/pkg/core/configuration/evidence.go
@@ -26,6 +26,10 @@
 			s.evidence(p.EvidenceAt)
 		}
 	}
+	s.askMajority(now)
+}
+
+func (s *System) askMajority(now time.Duration) {
 	if at, ok := s.majorityAt(now); ok {
 		s.t.Config.CaughtUp = true
 		s.evidence(at)
--- a/pkg/core/controltest/cluster_test.go
+++ b/pkg/core/controltest/cluster_test.go
@@ -60,8 +60,10 @@
 	// accepted is the highest version that any node holds to be accepted.
 	accepted   state.Version
 	violations []string
-	sent       map[state.NodeID][]state.Message
-	switches   state.Switches
+	// polled holds the last poll reply of each node; probes counts probes.
+	polled   map[state.NodeID]*state.PollReply
+	probes   map[state.HostID]map[state.NodeID]int
+	switches state.Switches
 }
 
 type fakeHost struct {
@@ -112,7 +114,8 @@
 	c := &cluster{
 		store: memory.New(), nodes: map[state.NodeID]*node{}, storeCut: map[state.NodeID]bool{},
 		storeDelay: storeDelay, cut: map[[2]state.NodeID]time.Duration{}, peerLag: map[[2]state.NodeID]time.Duration{},
-		hosts: map[state.HostID]*fakeHost{}, replies: map[uint64]state.OperatorReply{}, sent: map[state.NodeID][]state.Message{},
+		hosts: map[state.HostID]*fakeHost{}, replies: map[uint64]state.OperatorReply{}, polled: map[state.NodeID]*state.PollReply{},
+		probes: map[state.HostID]map[state.NodeID]int{},
 	}
 	for i := range nodes {
 		c.ids = append(c.ids, state.NodeID(fmt.Sprintf("n%d", i+1)))
@@ -133,7 +136,7 @@
 		}},
 	})
 	c.startAll()
-	c.run(8 * time.Second)
+	c.run(time.Duration(4+nodes) * time.Second)
 	for _, id := range c.ids {
 		gomega.Expect(c.nodes[id].t.Config.Fresh).To(gomega.BeTrue(), "%s is fresh", id)
 		gomega.Expect(c.nodes[id].t.Config.Accepted).To(gomega.Equal(state.Version(nodes + 1)))
@@ -274,7 +277,9 @@
 	case state.StoreRequest:
 		c.serve(n, o)
 	case state.SendPeer:
-		c.sent[n.self.ID] = append(c.sent[n.self.ID], o.Message)
+		if o.Message.PollReply != nil {
+			c.polled[n.self.ID] = o.Message.PollReply
+		}
 		if !n.links[o.To] || c.isCut(n.self.ID, o.To) {
 			return
 		}
@@ -337,6 +342,10 @@
 }
 
 func (c *cluster) probe(n *node, p state.Probe) {
+	if c.probes[p.Host] == nil {
+		c.probes[p.Host] = map[state.NodeID]int{}
+	}
+	c.probes[p.Host][n.self.ID]++
 	h := c.hosts[p.Host]
 	if h == nil || h.dead || h.cut[n.self.ID] {
 		c.after(time.Second, func() { n.feed(state.ProbeResult{Host: p.Host, SentAt: p.SentAt}) })
--- /dev/null
+++ b/pkg/core/controltest/membership_test.go
@@ -0,0 +1,345 @@
+package controltest
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/membership"
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+)
+
+// watched returns a started cluster with groups g1, g2 and so on of two members
+// each in one data centre. Group g1 has hosts h1 and h2.
+func watched(nodes, groups int) *cluster {
+	c := started(nodes)
+	for i := range groups {
+		id := state.GroupID(fmt.Sprintf("g%d", i+1))
+		var members []state.HostID
+		for j := range 2 {
+			h := state.HostID(fmt.Sprintf("h%d", 2*i+j+1))
+			members = append(members, h)
+			c.hosts[h] = &fakeHost{cut: map[state.NodeID]bool{}, answer: state.ProbeAnswer{
+				Incarnation: 1, Phase: state.PhaseReady, Group: id, Fence: 1, ChecksFence: true,
+			}}
+			c.listed = append(c.listed, state.ListedHost{ID: h, Address: "addr-" + string(h), DataCentre: "north", Domain: "d"})
+		}
+		c.putGroup(id, 1, members...)
+	}
+	c.run(3 * time.Second)
+	for _, n := range c.nodes {
+		for _, g := range n.t.Groups.Keys() {
+			gomega.Expect(n.routable(g)).To(gomega.BeTrue(), "%s routes to %s", n.self.ID, g)
+		}
+	}
+	return c
+}
+
+// putGroup writes a group row as the placement system does.
+func (c *cluster) putGroup(id state.GroupID, fence state.Fence, members ...state.HostID) {
+	for _, n := range c.nodes {
+		row := n.t.Groups.Get(id)
+		if row == nil {
+			row = &state.Group{ID: id}
+		}
+		row.Members, row.Fence, row.Phase = slices.Clone(members), fence, state.GroupServing
+		n.t.Groups.Put(id, row)
+	}
+}
+
+// routable reports whether a node may route to a group.
+func (n *node) routable(id state.GroupID) bool {
+	g := n.t.Groups.Get(id)
+	return g.Whole && n.clock()-g.WholeAt < membership.VerdictFor
+}
+
+func (c *cluster) routers(id state.GroupID) int {
+	count := 0
+	for _, n := range c.nodes {
+		if n.alive && n.routable(id) {
+			count++
+		}
+	}
+	return count
+}
+
+func (c *cluster) deadAt(id state.GroupID) int {
+	count := 0
+	for _, n := range c.nodes {
+		if n.alive && len(n.t.Groups.Get(id).Dead) > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// watchers returns the nodes that probe a host in steady state.
+func (c *cluster) watchers(host state.HostID) []state.NodeID {
+	clear(c.probes)
+	c.run(time.Second)
+	var ids []state.NodeID
+	for id, n := range c.probes[host] {
+		if n >= 3 {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+var _ = ginkgo.Describe("membership", func() {
+	// Guards against probes from every node, which would grow with the square of
+	// the system, and against groups without two watchers.
+	ginkgo.It("has each group probed by two nodes and known to all", func() {
+		c := watched(6, 12)
+		load := map[state.NodeID]int{}
+		for i := range 12 {
+			ids := c.watchers(state.HostID(fmt.Sprintf("h%d", 2*i+1)))
+			gomega.Expect(ids).To(gomega.HaveLen(2))
+			for _, id := range ids {
+				load[id]++
+			}
+			gomega.Expect(c.routers(state.GroupID(fmt.Sprintf("g%d", i+1)))).To(gomega.Equal(6))
+		}
+		gomega.Expect(len(load)).To(gomega.BeNumerically(">=", 5), "the duty is spread")
+	})
+
+	// Guards against work sent to a group whose member has died (I1), and
+	// against a repair before the member has been dead for 3 s.
+	ginkgo.It("ends the verdict within 1.5 s and finds the member dead after 3 s", func() {
+		c := watched(6, 3)
+		watcher := c.watchers("h1")[0]
+		c.hosts["h2"].dead = true
+		died := c.now
+		c.run(1200 * time.Millisecond)
+		gomega.Expect(c.nodes[watcher].t.Groups.Get("g1").Whole).To(gomega.BeFalse(), "a probe older than 1 s")
+		gomega.Expect(c.runUntil(5*time.Second, func() bool { return c.routers("g1") == 0 })).To(
+			gomega.BeNumerically("<=", 300*time.Millisecond), "1.5 s in all")
+		gomega.Expect(c.routers("g2")).To(gomega.Equal(6))
+		for _, n := range c.nodes {
+			gomega.Expect(n.t.Groups.Get("g1").WholeAt+n.start).To(gomega.BeNumerically("<=", died), "dated by the probe")
+		}
+		c.runUntil(5*time.Second, func() bool { return c.deadAt("g1") > 0 })
+		gomega.Expect(c.now - died).To(gomega.BeNumerically(">=", 3*time.Second))
+		c.runUntil(5*time.Second, func() bool { return c.deadAt("g1") == 6 })
+		gomega.Expect(c.now - died).To(gomega.BeNumerically("<=", 4*time.Second))
+		gomega.Expect(c.nodes["n1"].t.Groups.Get("g1").Dead).To(gomega.Equal([]state.HostID{"h2"}))
+		c.hosts["h2"].dead = false
+		c.run(time.Second)
+		gomega.Expect(c.deadAt("g1")).To(gomega.BeZero())
+		gomega.Expect(c.routers("g1")).To(gomega.Equal(6))
+	})
+
+	// Guards against a group of members that did not load together: one has
+	// restarted and says that it is ready.
+	ginkgo.DescribeTable("takes a member that restarted for a new one until it has loaded",
+		func(ignore bool, routers int) {
+			c := watched(6, 2)
+			for _, n := range c.nodes {
+				n.t.Switches.IgnoreWholeness = ignore
+			}
+			c.hosts["h2"].answer.Incarnation = 2
+			c.run(3 * time.Second)
+			gomega.Expect(c.routers("g1")).To(gomega.Equal(routers))
+			c.hosts["h2"].answer.Phase = state.PhaseLoading
+			c.run(time.Second)
+			c.hosts["h2"].answer.Phase = state.PhaseReady
+			c.run(time.Second)
+			gomega.Expect(c.routers("g1")).To(gomega.Equal(6))
+		},
+		ginkgo.Entry("with the rule", false, 0),
+		ginkgo.Entry("whole by mistake without it", true, 6),
+	)
+
+	// Guards against a group whose members still serve as an earlier fencing
+	// number had them.
+	ginkgo.It("takes no answer for an older fencing number", func() {
+		c := watched(3, 1)
+		c.putGroup("g1", 2, "h1", "h2")
+		c.run(100 * time.Millisecond)
+		gomega.Expect(c.routers("g1")).To(gomega.BeZero(), "by the watchers' earlier verdicts")
+		c.run(2 * time.Second)
+		gomega.Expect(c.routers("g1")).To(gomega.BeZero())
+		c.hosts["h1"].answer.Fence, c.hosts["h2"].answer.Fence = 2, 2
+		c.run(time.Second)
+		gomega.Expect(c.routers("g1")).To(gomega.Equal(3))
+	})
+
+	// Guards against a gap in service when the watchers of a group die.
+	ginkgo.It("keeps routing while both watchers die at once", func() {
+		c := watched(6, 1)
+		for _, id := range c.watchers("h1") {
+			c.kill(id)
+		}
+		for range 60 {
+			c.run(50 * time.Millisecond)
+			gomega.Expect(c.routers("g1")).To(gomega.Equal(4))
+		}
+		gomega.Expect(c.watchers("h1")).To(gomega.HaveLen(2))
+	})
+
+	// Guards against the repair of groups that are well, because a watcher is
+	// cut off, and against a cut-off watcher that hides a death for ever.
+	ginkgo.It("takes a watcher that reaches little for the one cut off", func() {
+		c := watched(6, 6)
+		cut := c.watchers("h1")[0]
+		for _, h := range c.hosts {
+			h.cut[cut] = true
+		}
+		for range 100 {
+			c.run(100 * time.Millisecond)
+			for i := range 6 {
+				id := state.GroupID(fmt.Sprintf("g%d", i+1))
+				gomega.Expect(c.deadAt(id)).To(gomega.BeZero())
+				gomega.Expect(c.routers(id)).To(gomega.Equal(6))
+			}
+		}
+		gomega.Expect(c.watchers("h1")).To(gomega.HaveLen(3), "another node took its place")
+		c.hosts["h1"].dead = true
+		c.run(6 * time.Second)
+		gomega.Expect(c.deadAt("g1")).To(gomega.BeNumerically(">=", 5))
+	})
+
+	// Guards against the repair of a group whose member one watcher does not
+	// reach: the cut is one-way and the member serves.
+	ginkgo.It("finds no member dead that one watcher reaches", func() {
+		c := watched(6, 6)
+		c.hosts["h1"].cut[c.watchers("h1")[0]] = true
+		for range 100 {
+			c.run(100 * time.Millisecond)
+			gomega.Expect(c.deadAt("g1")).To(gomega.BeZero())
+			gomega.Expect(c.routers("g1")).To(gomega.Equal(6))
+		}
+	})
+
+	// Guards against changes without evidence: no node reaches the data centre.
+	ginkgo.It("finds nobody dead when no node reaches the data centre", func() {
+		c := watched(6, 6)
+		for _, h := range c.hosts {
+			h.dead = true
+		}
+		for range 100 {
+			c.run(100 * time.Millisecond)
+			for i := range 6 {
+				gomega.Expect(c.deadAt(state.GroupID(fmt.Sprintf("g%d", i+1)))).To(gomega.BeZero())
+			}
+		}
+	})
+
+	// Guards against a group that is never repaired because its watchers probe
+	// nothing else in the data centre and take themselves for cut off.
+	ginkgo.It("finds a whole group dead by comparison with other hosts", func() {
+		c := watched(2, 1)
+		for i := range 6 {
+			h := state.HostID(fmt.Sprintf("spare%d", i))
+			c.hosts[h] = &fakeHost{cut: map[state.NodeID]bool{}, answer: state.ProbeAnswer{Phase: state.PhaseEmpty}}
+			c.listed = append(c.listed, state.ListedHost{ID: h, DataCentre: "north", Domain: "d"})
+		}
+		c.run(2 * time.Second)
+		c.hosts["h1"].dead, c.hosts["h2"].dead = true, true
+		c.run(8 * time.Second)
+		gomega.Expect(c.nodes["n1"].t.Groups.Get("g1").Dead).To(gomega.Equal([]state.HostID{"h1", "h2"}))
+		gomega.Expect(c.probes["spare0"]).NotTo(gomega.BeEmpty())
+		c.hosts["h1"].dead, c.hosts["h2"].dead = false, false
+		c.run(3 * time.Second)
+		clear(c.probes)
+		c.run(3 * time.Second)
+		gomega.Expect(c.probes["spare0"]).To(gomega.BeEmpty())
+	})
+
+	// Guards against a node that routes by nothing, or not at all, when no peer
+	// reaches it.
+	ginkgo.It("has a node without verdicts probe by itself", func() {
+		c := watched(6, 4)
+		c.split("n6")
+		for range 100 {
+			c.run(100 * time.Millisecond)
+			for i := range 4 {
+				gomega.Expect(c.nodes["n6"].routable(state.GroupID(fmt.Sprintf("g%d", i+1)))).To(gomega.BeTrue())
+			}
+		}
+	})
+
+	// Guards against nodes of a larger registry that have no verdicts, because
+	// they poll only some of the watchers.
+	ginkgo.It("has the nodes of a larger registry probe what no peer tells them", func() {
+		c := watched(12, 3)
+		for range 40 {
+			c.run(100 * time.Millisecond)
+			for i := range 3 {
+				gomega.Expect(c.routers(state.GroupID(fmt.Sprintf("g%d", i+1)))).To(gomega.Equal(12))
+			}
+		}
+	})
+
+	// Guards against a slow member that is taken for a healthy one.
+	ginkgo.It("names a group with a straggler", func() {
+		c := watched(3, 1)
+		c.hosts["h2"].answer.Latency = 5 * time.Millisecond
+		c.run(8 * time.Second)
+		for _, n := range c.nodes {
+			gomega.Expect(n.t.Groups.Get("g1").Straggler).To(gomega.BeTrue())
+			gomega.Expect(n.routable("g1")).To(gomega.BeTrue())
+		}
+	})
+
+	// Guards against a target that stays suspect, and against one that is
+	// cleared by a probe from before the error.
+	ginkgo.It("clears a suspect target by a probe sent after the error", func() {
+		c := watched(3, 1)
+		t := c.nodes["n1"].t
+		t.Targets.Put("g1", &state.Target{ID: "g1", Group: "g1", Suspect: true})
+		from := c.now
+		c.runUntil(2*time.Second, func() bool { return !t.Targets.Get("g1").Suspect })
+		gomega.Expect(t.Groups.Get("g1").WholeAt).To(gomega.BeNumerically(">", from-c.nodes["n1"].start))
+	})
+
+	// Guards against limits over all nodes that count on stale numbers.
+	ginkgo.It("passes on counts in flight and drops those of a former incarnation", func() {
+		c := started(3)
+		n1, n2 := c.nodes["n1"].t, c.nodes["n2"].t
+		n1.Targets.Put("g1", &state.Target{ID: "g1", InFlight: 4})
+		n1.Accounts.Get("shelf").InFlight = 3
+		n1.Accounts.Touch("shelf")
+		c.run(600 * time.Millisecond)
+		gomega.Expect(n2.Peers.Get("n1").Loads).To(gomega.Equal([]state.TargetCount{{Target: "g1", Count: 4}}))
+		gomega.Expect(n2.Peers.Get("n1").Usage).To(gomega.Equal([]state.AccountValue{{Account: "shelf", Value: 3}}))
+		n1.Targets.Get("g1").InFlight = 0
+		n1.Targets.Touch("g1")
+		c.run(600 * time.Millisecond)
+		gomega.Expect(n2.Peers.Get("n1").Loads).To(gomega.BeEmpty())
+		c.startNode("n1")
+		c.run(2 * time.Second)
+		gomega.Expect(n2.Peers.Get("n1").Usage).To(gomega.BeEmpty())
+	})
+
+	// Guards against counts that go back when an old reply overtakes.
+	ginkgo.It("drops a reply that arrives after a younger one", func() {
+		c := started(2)
+		n1, n2 := c.nodes["n1"].t, c.nodes["n2"].t
+		n1.Targets.Put("g1", &state.Target{ID: "g1", InFlight: 1})
+		c.peerLag[[2]state.NodeID{"n1", "n2"}] = 600 * time.Millisecond
+		c.run(310 * time.Millisecond)
+		n1.Targets.Get("g1").InFlight = 2
+		n1.Targets.Touch("g1")
+		clear(c.peerLag)
+		c.runUntil(time.Second, func() bool { return len(n2.Peers.Get("n1").Loads) > 0 })
+		for range 20 {
+			gomega.Expect(n2.Peers.Get("n1").Loads[0].Count).To(gomega.Equal(2))
+			c.run(50 * time.Millisecond)
+		}
+	})
+
+	// Guards against control traffic that grows with what has not changed.
+	ginkgo.It("keeps a reply in steady state below 200 bytes", func() {
+		c := watched(6, 50)
+		c.run(3 * time.Second)
+		size := len(state.Encode(state.Message{PollReply: c.polled["n1"]}))
+		ginkgo.GinkgoWriter.Printf("steady poll reply: %d bytes\n", size)
+		gomega.Expect(c.polled["n1"].Verdicts).To(gomega.BeEmpty())
+		gomega.Expect(size).To(gomega.BeNumerically("<", 200))
+	})
+})
--- a/pkg/core/membership/watch.go
+++ b/pkg/core/membership/watch.go
@@ -24,6 +24,8 @@
 	live []state.NodeID
 	// changed is set when the live nodes or what they reach may have changed.
 	changed bool
+	// draining is whether this node had given its watch up.
+	draining bool
 	// again holds the groups whose watchers are chosen again in this step.
 	again []state.GroupID
 	// ageAt and age cache the age of this node's verdicts for one instant.
@@ -115,8 +117,8 @@
 // reassign chooses the watchers again where that may change them.
 func (s *System) reassign(now time.Duration, out *state.Outbox) {
 	w := &s.watch
-	if w.changed {
-		w.changed = false
+	if w.changed || w.draining != s.t.Draining {
+		w.changed, w.draining = false, s.t.Draining
 		w.live = s.liveNodes(now)
 		w.again = w.again[:0]
 		for id := range w.groups {
