--- a/pkg/core/state/row.go
+++ b/pkg/core/state/row.go
@@ -168,6 +168,16 @@
 	Fence   Fence      `cbor:"3,keyasint"`
 	Phase   GroupPhase `cbor:"4,keyasint"`
 	Op      OpID       `cbor:"5,keyasint"`
+	// DataCentre is that of the members: the holder of its lease owns the row.
+	DataCentre DataCentre `cbor:"6,keyasint,omitempty"`
+	// Model, Version, Adapters and Role are what the members are to serve.
+	Model    string   `cbor:"7,keyasint,omitempty"`
+	Version  string   `cbor:"8,keyasint,omitempty"`
+	Adapters []string `cbor:"9,keyasint,omitempty"`
+	Role     string   `cbor:"10,keyasint,omitempty"`
+	// Order is what brings the members into this state: OrderLoad, or
+	// OrderRole when only the role changed.
+	Order OrderKind `cbor:"11,keyasint,omitempty"`
 }
 
 // HostRow is the value of table row "host/<id>".
@@ -227,6 +237,15 @@
 	PeerInFlight int
 	// SentSinceReport counts attempts that the last report cannot include.
 	SentSinceReport int
+	// ColdBase is the completed count at which the target last turned cold in
+	// its present incarnation: work before it does not raise the limit.
+	ColdBase int64
+	// SuspectAt is when Suspect was set.
+	SuspectAt time.Duration
+	// Leaving is set while the target or a host of it is leaving.
+	Leaving bool
+	// Idle is set while the configuration gives the target no new work.
+	Idle bool
 }
 
 // LoadAnswer is a target's load report.
@@ -282,7 +301,7 @@
 
 // Request is a request of a caller. Arrival fields never change; Phase, Target
 // and Attempt are written by the admission system through its dispatch, Claim
-// fields by the claims system, Next by the retry system. The end columns are
+// fields by the claims system, what follows from attempts by the retry system. The end columns are
 // written only by EndWithRefusal and EndWithAnswer.
 type Request struct {
 	Arrival RequestArrived
@@ -306,11 +325,15 @@
 	CallerGone bool
 	// Gate is the state of the request's claim.
 	Gate ClaimGate
-	// Running is set from the start of an attempt until its last event. Written
-	// by the admission system.
-	Running bool
-	// Next is what follows the end of an attempt.
-	Next NextStep
+	// Finished is the number of the last attempt that ended. Written by the
+	// retry system.
+	Finished int
+	// MayHaveRun is set once an attempt ended with another outcome than not
+	// run. Written by the retry system.
+	MayHaveRun bool
+	// Next is what follows the end of attempt Finished, not before NextAt.
+	Next   NextStep
+	NextAt time.Duration
 }
 
 // ClaimPhase is the phase of a claim.
