Check the request systems under random faults

Random schedules over three nodes combine lost answers and outages of the table service, partitions, dead nodes, stale configurations and six kinds of target faults, among them a request that arrives after its connection broke. Checked at the end: no key ran twice, no "not run" is false, each request of a living node has exactly one reply by its deadline, cold targets stay within their limit, and all counts return to zero.

--- a/pkg/core/world_test.go
+++ b/pkg/core/world_test.go
@@ -45,8 +45,13 @@
 	reportLag   time.Duration
 	staleLoads  map[state.TargetID]int
 	partitioned bool
-	found       func(state.OutcomeFound)
-	fetched     func(state.TargetID)
+	// keys are those of the requests; executed counts the runs of each key, and
+	// ran holds the requests that a target ran.
+	keys     map[state.RequestID]string
+	executed map[string]int
+	ran      map[state.RequestID]bool
+	found    func(state.OutcomeFound)
+	fetched  func(state.TargetID)
 }
 
 type fakeNode struct {
@@ -76,6 +81,7 @@
 func newWorld(nodes int, switches state.Switches, doc state.Document) *world {
 	w := &world{
 		targets: map[state.TargetID]*fakeTarget{}, store: memory.New(), doc: doc, reportLag: time.Millisecond,
+		keys: map[state.RequestID]string{}, executed: map[string]int{}, ran: map[state.RequestID]bool{},
 		replies: map[state.RequestID]state.Reply{}, repliedAt: map[state.RequestID]time.Duration{},
 	}
 	var registry []state.NodeEntry
@@ -245,7 +251,7 @@
 
 func (w *world) deliver(from *fakeNode, out state.SendPeer) {
 	for _, n := range w.nodes {
-		if n.t.Self.ID == out.To && !from.dead {
+		if n.t.Self.ID == out.To && !from.dead && n.t.Peers.Get(from.t.Self.ID).Linked {
 			n.feed(state.PeerMessage{From: from.t.Self.ID, Message: out.Message})
 		}
 	}
@@ -262,9 +268,7 @@
 	}
 	target.running++
 	target.peak = max(target.peak, target.running)
-	if req := n.t.Requests.Get(start.Request); req != nil {
-		target.executions[req.Arrival.Key]++
-	}
+	w.execute(target, start)
 	w.after(target.serve, func() {
 		target.running--
 		target.completed++
@@ -275,6 +279,15 @@
 	})
 }
 
+// execute notes that a target runs a request.
+func (w *world) execute(target *fakeTarget, start state.StartAttempt) {
+	w.ran[start.Request] = true
+	if key := w.keys[start.Request]; key != "" {
+		target.executions[key]++
+		w.executed[key]++
+	}
+}
+
 func (w *world) report(n *fakeNode, out state.FetchLoad) {
 	target := w.targets[out.Target]
 	answer := state.LoadAnswer{
@@ -309,6 +322,7 @@
 	if a.Timeout == 0 {
 		a.Timeout = 60 * time.Second
 	}
+	w.keys[a.ID] = a.Key
 	n.feed(a)
 	return a.ID
 }
