--- a/pkg/core/state/tables.go
+++ b/pkg/core/state/tables.go
@@ -51,6 +51,7 @@
 	IgnoreVersionOrder bool
 	IgnoreHostRows     bool
 	IgnoreFairness     bool
+	IgnoreOrderExpiry  bool
 	// IgnoreBudgets retries without bounds.
 	IgnoreBudgets bool
 	// IgnoreChoices always picks the target with the best score.
