Answer the outcome of a request at any node

GET /v1/requests/{id} knew only the requests of the node that was asked. It now asks the core, which asks the peers. The default deadline is 10 minutes: the core cuts a running answer at its deadline, and 2 minutes would cut long streams whose callers gave none.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -42,21 +42,24 @@
 	log      *slog.Logger
 	observer Observer
 
-	start     time.Time
-	inputs    chan state.Input
-	calls     chan func(*state.Tables)
-	submits   chan submission
-	exchanges map[state.RequestID]Exchange
-	operators map[uint64]chan state.OperatorReply
-	operate   chan operation
-	nextOp    uint64
-	lanes     lanes
-	counters  Counters
-	ready     atomic.Bool
-	draining  atomic.Bool
-	snapshot  atomic.Pointer[Snapshot]
-	stop      chan struct{}
-	done      chan struct{}
+	start        time.Time
+	inputs       chan state.Input
+	calls        chan func(*state.Tables)
+	submits      chan submission
+	exchanges    map[state.RequestID]Exchange
+	operators    map[uint64]chan state.OperatorReply
+	operate      chan operation
+	ask          chan question
+	questions    map[uint64]chan state.OutcomeFound
+	nextOp       uint64
+	nextQuestion uint64
+	lanes        lanes
+	counters     Counters
+	ready        atomic.Bool
+	draining     atomic.Bool
+	snapshot     atomic.Pointer[Snapshot]
+	stop         chan struct{}
+	done         chan struct{}
 }
 
 type submission struct {
@@ -78,6 +81,8 @@
 		calls:     make(chan func(*state.Tables)),
 		submits:   make(chan submission),
 		operate:   make(chan operation),
+		ask:       make(chan question),
+		questions: map[uint64]chan state.OutcomeFound{},
 		exchanges: map[state.RequestID]Exchange{},
 		operators: map[uint64]chan state.OperatorReply{},
 		stop:      make(chan struct{}),
@@ -169,6 +174,10 @@
 			if d.step(ctx, o.command) {
 				return
 			}
+		case q := <-d.ask:
+			if d.step(ctx, d.question(q)) {
+				return
+			}
 		case f := <-d.calls:
 			f(d.node.Tables())
 		}
@@ -217,6 +226,11 @@
 			delete(d.operators, out.ID)
 			c <- out
 		}
+	case state.OutcomeFound:
+		if c := d.questions[out.ID]; c != nil {
+			delete(d.questions, out.ID)
+			c <- out
+		}
 	case state.SetPeers:
 		if d.links != nil {
 			d.links.SetPeers(out.Peers)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -22,8 +22,10 @@
 	maxBodyBytes = 4 << 20
 	// maxHeaderBytes bounds names and values of a request's header fields.
 	maxHeaderBytes = 16 << 10
-	// defaultTimeout is the deadline of a request without X-Deadline-Ms.
-	defaultTimeout = 120 * time.Second
+	// defaultTimeout is the deadline of a request without X-Deadline-Ms. At the
+	// deadline a running answer is cut, so it is above the time of any answer;
+	// the wait in the queue has its own bound.
+	defaultTimeout = 10 * time.Minute
 	// inactivity is how long an answer that has begun, or a stream, may carry
 	// nothing before its connection is taken to be silent.
 	inactivity = 5 * time.Second
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"strconv"
@@ -20,8 +21,13 @@
 	// request last changed.
 	Offset int64        `json:"offset,omitempty"`
 	Answer *knownAnswer `json:"answer,omitempty"`
+	// Node is the entry daemon that took the request.
+	Node state.NodeID `json:"node"`
 }
 
+// outcomeTimeout is above the time that the core gives its peers.
+const outcomeTimeout = 3 * time.Second
+
 // knownAnswer is the stored answer of a request that may not be repeated.
 type knownAnswer struct {
 	Status      int    `json:"status"`
@@ -50,41 +56,43 @@
 			return
 		}
 	}
-	status, found := g.status(account, id)
-	if !found {
-		e := apierror.New(apierror.KindNotFound, "request_not_known",
-			"this node does not know the request; ask the node that took it, or send its X-Resume-Token", apierror.Unknown)
-		writeError(w, e)
+	status, apiErr := g.status(r.Context(), account, id)
+	if apiErr != nil {
+		writeError(w, apiErr)
 		return
 	}
 	writeJSON(w, http.StatusOK, status)
 }
 
-func (g *Gateway) status(account state.AccountID, id state.RequestID) (status requestStatus, found bool) {
+// status asks this node and its peers.
+func (g *Gateway) status(ctx context.Context, account state.AccountID, id state.RequestID) (requestStatus, *apierror.Error) {
+	ctx, cancel := context.WithTimeout(ctx, outcomeTimeout)
+	defer cancel()
+	found, err := g.daemon.Outcome(ctx, account, id)
+	if err != nil || !found.Answer.Known {
+		return requestStatus{}, apierror.New(apierror.KindNotFound, "request_not_known",
+			"no node that answers knows the request; send its X-Resume-Token, or repeat it with its Idempotency-Key", apierror.Unknown)
+	}
+	a := &found.Answer
+	status := requestStatus{ID: id, Object: "request", State: "ended", Outcome: a.Outcome, Node: found.Node}
+	if a.Running {
+		status.State = "running"
+	}
+	if a.Resume != nil {
+		status.Offset = a.Resume.Offset
+	}
 	g.daemon.View(func(t *state.Tables) {
 		req := t.Requests.Get(id)
-		if req == nil || req.Arrival.Account != account {
-			return
-		}
-		found = true
-		status = requestStatus{ID: id, Object: "request", State: "running", Offset: req.Offset}
-		switch req.Phase {
-		case state.RequestQueued, state.RequestClaiming, state.RequestClaimed:
-			status.State = "queued"
-		case state.RequestEnded:
-			status.State, status.Outcome = "ended", req.Outcome
-		case state.RequestSent:
-		}
-		if !req.Arrival.Once {
+		if req == nil || req.Arrival.Account != account || !req.Arrival.Once {
 			return
 		}
 		claim := t.Claims.Get(state.KeyClaim(account, req.Arrival.Key))
 		if claim != nil && claim.Row.Request == id && claim.Row.Answer != nil {
-			a := claim.Row.Answer
-			status.Answer = &knownAnswer{a.Status, a.ContentType, string(a.Body)}
+			known := claim.Row.Answer
+			status.Answer = &knownAnswer{known.Status, known.ContentType, string(known.Body)}
 		}
 	})
-	return status, found
+	return status, nil
 }
 
 // resume continues a stream from an offset, at any node.
