--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -28,6 +28,7 @@
 	// dialler is the node that dialled the connection.
 	dialler state.NodeID
 	conn    *websocket.Conn
+	meter   Meter
 
 	mu    sync.Mutex
 	queue []state.Message
@@ -111,6 +112,7 @@
 				if k.conn.WriteMessage(websocket.BinaryMessage, frame) != nil {
 					return
 				}
+				k.meter.PeerSent(len(frame))
 			}
 		}
 	}
@@ -142,6 +144,7 @@
 		if kind != websocket.BinaryMessage {
 			return errors.Wrap(errMalformed, "frame is not binary")
 		}
+		k.meter.PeerReceived(len(frame))
 		m, err := decodeMessage(frame)
 		if err != nil {
 			return errors.Wrap(errMalformed, err.Error())
--- a/pkg/peer/links.go
+++ b/pkg/peer/links.go
@@ -36,6 +36,7 @@
 	key         []byte
 	log         *slog.Logger
 	feed        func(state.Input)
+	meter       Meter
 	ctx         context.Context
 	stop        context.CancelFunc
 
@@ -58,7 +59,7 @@
 func New(self state.Self, key []byte, log *slog.Logger) *Links {
 	ctx, stop := context.WithCancel(context.Background())
 	return &Links{
-		self: self.ID, incarnation: self.Incarnation, key: key, log: log, ctx: ctx, stop: stop,
+		self: self.ID, incarnation: self.Incarnation, key: key, log: log, ctx: ctx, stop: stop, meter: noMeter{},
 		links: map[state.NodeID]*link{}, dials: map[state.NodeID]*dial{},
 	}
 }
@@ -66,6 +67,21 @@
 // Start sets where inputs go. It is called once, before all other methods.
 func (l *Links) Start(feed func(state.Input)) { l.feed = feed }
 
+// Meter counts the bytes of frames. It is safe for concurrent use.
+type Meter interface {
+	PeerSent(bytes int)
+	PeerReceived(bytes int)
+}
+
+// Measure sets the meter. It is called before Start.
+func (l *Links) Measure(m Meter) { l.meter = m }
+
+// noMeter counts nothing.
+type noMeter struct{}
+
+func (noMeter) PeerSent(int)     {}
+func (noMeter) PeerReceived(int) {}
+
 // Handler accepts links from peers.
 func (l *Links) Handler() http.Handler {
 	upgrader := websocket.Upgrader{HandshakeTimeout: helloTimeout}
@@ -203,6 +219,7 @@
 // run adopts a link and carries it until it ends. It returns false for a link
 // that gave way to another one to the same peer.
 func (l *Links) run(k *link) bool {
+	k.meter = l.meter
 	old, ok := l.adopt(k)
 	if k.dialler != l.self {
 		// A welcome that is lost shows as a connection that breaks.
