Set limits, directory and faults of stand-ins from their settings

The engine and the service gained limits, a directory of members and an end of the process on the fault die, none of which could be set for a stand-in process. Registrations in the audit trail have no wall clock and were shown as 1970.

--- a/pkg/command/read.go
+++ b/pkg/command/read.go
@@ -90,7 +90,7 @@
 			w := tabwriter.NewWriter(e.out, 0, 0, 2, ' ', 0)
 			fprintln(w, "VERSION\tTIME\tOPERATOR\tACTION\tBEFORE\tAFTER")
 			for _, a := range audit.Entries {
-				fprintf(w, "%d\t%s\t%s\t%s\t%s\t%s\n", a.Version, a.Time, a.Operator, a.Action, a.Before, a.After)
+				fprintf(w, "%d\t%s\t%s\t%s\t%s\t%s\n", a.Version, orDash(a.Time), a.Operator, a.Action, orDash(a.Before), orDash(a.After))
 			}
 			return errors.Wrap(w.Flush(), "print audit trail")
 		},
--- a/pkg/dev/dev.go
+++ b/pkg/dev/dev.go
@@ -64,29 +64,49 @@
 }
 
 func (s *System) build(ctx context.Context, o Options) error {
-	orders, err := s.serve(s.Service.Handler())
+	orders, err := loopback()
 	if err != nil {
 		return err
 	}
-	doc := standin.DemoDocument(groups, orders)
+	s.serve(orders, s.Service.Handler())
+	doc := standin.DemoDocument(groups, orders.Addr().String())
+	hosts, err := s.addEngines(doc)
+	if err != nil {
+		return err
+	}
+	s.Store.SetHosts(hosts)
+	if err := standin.Seed(ctx, s.Store, doc); err != nil {
+		return err
+	}
+	return s.addNodes(o, doc)
+}
+
+// addEngines runs one engine on each host and returns the platform's list of
+// hosts. The engines of a group reach each other by the list.
+func (s *System) addEngines(doc state.Document) ([]state.ListedHost, error) {
 	var hosts []state.ListedHost
+	var sockets []net.Listener
+	directory := map[state.HostID]string{}
 	for _, dc := range doc.DataCentres {
 		for i := range hostsPerDomain {
-			address, err := s.serve(standin.NewEngine(state.Incarnation(time.Now().UnixNano())).Handler())
+			socket, err := loopback()
 			if err != nil {
-				return err
+				return nil, err
 			}
-			hosts = append(hosts, state.ListedHost{
-				ID: state.HostID(fmt.Sprintf("%s-h%d", dc.Name, i+1)), Address: address,
+			host := state.ListedHost{
+				ID: state.HostID(fmt.Sprintf("%s-h%d", dc.Name, i+1)), Address: socket.Addr().String(),
 				DataCentre: dc.Name, Domain: state.DomainID(dc.Name) + "-d1",
-			})
+			}
+			hosts, sockets = append(hosts, host), append(sockets, socket)
+			directory[host.ID] = host.Address
 		}
 	}
-	s.Store.SetHosts(hosts)
-	if err := standin.Seed(ctx, s.Store, doc); err != nil {
-		return err
+	for i, host := range hosts {
+		engine := standin.NewEngine(state.Incarnation(time.Now().UnixNano()))
+		engine.ID, engine.Directory = host.ID, directory
+		s.serve(sockets[i], engine.Handler())
 	}
-	return s.addNodes(o, doc)
+	return hosts, nil
 }
 
 func (s *System) addNodes(o Options, doc state.Document) error {
@@ -120,16 +140,17 @@
 	return net.JoinHostPort(host, "0")
 }
 
-// serve runs a stand-in on a free port of the loopback interface.
-func (s *System) serve(handler http.Handler) (string, error) {
+// loopback opens a free port of the loopback interface.
+func loopback() (net.Listener, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "listen for a stand-in")
-	}
+	return listener, errors.Wrap(err, "listen for a stand-in")
+}
+
+// serve runs a stand-in.
+func (s *System) serve(listener net.Listener, handler http.Handler) {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 	s.servers = append(s.servers, server)
 	go func() { _ = server.Serve(listener) }()
-	return listener.Addr().String(), nil
 }
 
 // Run runs the nodes until all have shut down. Cancelling the context ends
--- a/pkg/operator/api.go
+++ b/pkg/operator/api.go
@@ -70,8 +70,9 @@
 	Action   string `json:"action"`
 	Before   string `json:"before"`
 	After    string `json:"after"`
-	// Time is the wall clock of the node that took the change, in RFC 3339.
-	Time string `json:"time"`
+	// Time is the wall clock of the node that took the change, in RFC 3339. A
+	// registration of a node has none.
+	Time string `json:"time,omitempty"`
 }
 
 // Audit is the audit trail, latest version last.
--- a/pkg/operator/handler.go
+++ b/pkg/operator/handler.go
@@ -87,10 +87,11 @@
 }
 
 func auditEntry(r state.AuditRecord) AuditEntry {
-	return AuditEntry{
-		Version: uint64(r.Version), Operator: r.Operator, Action: r.Action, Before: r.Before, After: r.After,
-		Time: time.UnixMilli(r.AtUnixMilli).UTC().Format(time.RFC3339),
+	e := AuditEntry{Version: uint64(r.Version), Operator: r.Operator, Action: r.Action, Before: r.Before, After: r.After}
+	if r.AtUnixMilli != 0 {
+		e.Time = time.UnixMilli(r.AtUnixMilli).UTC().Format(time.RFC3339)
 	}
+	return e
 }
 
 var claimStates = map[state.ClaimPhase]string{
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -129,6 +129,13 @@
 	LoadTime  time.Duration
 	TokenTime time.Duration
 	Tokens    int
+	ID        string
+	// Directory has the addresses of all engines by host.
+	Directory   map[string]string
+	ColdLimit   int
+	WarmLimit   int
+	CacheLag    time.Duration
+	ChecksFence bool
 }
 
 // LoadEngine reads the settings of an engine stand-in.
@@ -138,15 +145,26 @@
 		return Engine{}, err
 	}
 	in := file.One("engine")
-	return Engine{
+	e := Engine{
 		Listen: in.Text("listen"), LoadTime: in.Duration("load_time"),
-		TokenTime: in.Duration("token_time"), Tokens: int(in.Int("tokens")),
-	}, nil
+		TokenTime: in.Duration("token_time"), Tokens: int(in.Int("tokens")), ID: in.Text("id"),
+		ColdLimit: int(in.Int("cold_limit")), WarmLimit: int(in.Int("warm_limit")),
+		CacheLag: in.Duration("cache_lag"), ChecksFence: in.Bool("checks_fence"),
+	}
+	for _, host := range in.Pairs("directory") {
+		if e.Directory == nil {
+			e.Directory = map[string]string{}
+		}
+		e.Directory[host.Name] = host.Text
+	}
+	return e, nil
 }
 
 // Service holds the settings of a service stand-in.
 type Service struct {
-	Listen string
+	Listen    string
+	ColdLimit int
+	WarmLimit int
 }
 
 // LoadService reads the settings of a service stand-in.
@@ -155,5 +173,6 @@
 	if err != nil {
 		return Service{}, err
 	}
-	return Service{Listen: file.One("service").Text("listen")}, nil
+	in := file.One("service")
+	return Service{Listen: in.Text("listen"), ColdLimit: int(in.Int("cold_limit")), WarmLimit: int(in.Int("warm_limit"))}, nil
 }
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -122,7 +122,13 @@
 	g.Expect(filepath.IsAbs(p.Declaration)).To(gomega.BeTrue())
 	e, err := settings.LoadEngine(write(t, "[engine]\nlisten = :0\n"))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(e).To(gomega.Equal(settings.Engine{Listen: ":0", LoadTime: 100 * time.Millisecond, TokenTime: 2 * time.Millisecond, Tokens: 16}))
+	g.Expect(e).To(gomega.Equal(settings.Engine{
+		Listen: ":0", LoadTime: 100 * time.Millisecond, TokenTime: 2 * time.Millisecond, Tokens: 16, ChecksFence: true,
+	}))
+	e, err = settings.LoadEngine(write(t, "[engine]\nlisten = :0\nid = h1\ndirectory = h1:127.0.0.1:1, h2:127.0.0.1:2\ncold_limit = 2\nwarm_limit = 3\ncache_lag = 1s\nchecks_fence = false\n"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(e.Directory).To(gomega.Equal(map[string]string{"h1": "127.0.0.1:1", "h2": "127.0.0.1:2"}))
+	g.Expect([]any{e.ID, e.ColdLimit, e.WarmLimit, e.CacheLag, e.ChecksFence}).To(gomega.Equal([]any{"h1", 2, 3, time.Second, false}))
 	_, err = settings.LoadService(write(t, "[service]\n"))
 	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("[service] listen: key is missing")))
 }
--- a/pkg/settings/tables.go
+++ b/pkg/settings/tables.go
@@ -7,6 +7,9 @@
 	"github.com/apricotgrade/apricotgrade/pkg/inifile"
 )
 
+// maxLimit bounds the limits of stand-ins.
+const maxLimit = 100_000
+
 // NodeTable describes the settings of the entry daemon.
 var NodeTable = inifile.Table{
 	Title: "Entry daemon",
@@ -75,6 +78,12 @@
 			{Name: "load_time", Kind: inifile.Duration, Default: "100ms", Max: int64(time.Hour), Help: "Time that a load order takes."},
 			{Name: "token_time", Kind: inifile.Duration, Default: "2ms", Max: int64(time.Minute), Help: "Time between two tokens of a stream."},
 			{Name: "tokens", Kind: inifile.Integer, Unit: "tokens", Default: "16", Min: 1, Max: 1 << 20, Help: "Length of each answer."},
+			{Name: "id", Kind: inifile.Name, Help: "Host of the engine in the platform's list."},
+			{Name: "directory", Kind: inifile.Labels, Help: "Addresses of all engines as `HOST:IP:port`. With it the leader of a group fails when a member is dead."},
+			{Name: "cold_limit", Kind: inifile.Integer, Unit: "requests", Default: "0", Max: maxLimit, Help: "Requests that a newly started engine bears; 0 means any number."},
+			{Name: "warm_limit", Kind: inifile.Integer, Unit: "requests", Default: "0", Max: maxLimit, Help: "Requests that a warm engine bears; 0 means any number."},
+			{Name: "cache_lag", Kind: inifile.Duration, Default: "0s", Max: int64(time.Minute), Help: "Delay of cache events."},
+			{Name: "checks_fence", Kind: inifile.Boolean, Default: "true", Help: "Whether orders with an old fencing number are refused."},
 		},
 	}},
 }
@@ -87,6 +96,8 @@
 		Name: "service", Required: true, Help: "The stand-in itself.",
 		Keys: []inifile.Key{
 			{Name: "listen", Kind: inifile.Listen, Required: true, Help: "Listener of the service."},
+			{Name: "cold_limit", Kind: inifile.Integer, Unit: "requests", Default: "0", Max: maxLimit, Help: "Requests that a newly started service bears; 0 means any number."},
+			{Name: "warm_limit", Kind: inifile.Integer, Unit: "requests", Default: "0", Max: maxLimit, Help: "Requests that a warm service bears; 0 means any number."},
 		},
 	}},
 }
--- a/pkg/standin/command.go
+++ b/pkg/standin/command.go
@@ -105,6 +105,15 @@
 	}
 	engine := NewEngine(state.Incarnation(time.Now().UnixNano()))
 	engine.LoadTime, engine.TokenTime, engine.Tokens = cfg.LoadTime, cfg.TokenTime, cfg.Tokens
+	engine.ColdLimit, engine.WarmLimit, engine.CacheLag = cfg.ColdLimit, cfg.WarmLimit, cfg.CacheLag
+	engine.ID, engine.Directory = state.HostID(cfg.ID), map[state.HostID]string{}
+	for host, address := range cfg.Directory {
+		engine.Directory[state.HostID(host)] = address
+	}
+	if !cfg.ChecksFence {
+		engine.IgnoreFence()
+	}
+	engine.OnDie = func() { os.Exit(1) }
 	return cfg.Listen, engine.Handler(), nil
 }
 
@@ -113,5 +122,8 @@
 	if err != nil {
 		return "", nil, err
 	}
-	return cfg.Listen, NewService().Handler(), nil
+	service := NewService()
+	service.ColdLimit, service.WarmLimit = cfg.ColdLimit, cfg.WarmLimit
+	service.OnDie = func() { os.Exit(1) }
+	return cfg.Listen, service.Handler(), nil
 }
