Run a scripted session over separate processes

No test went through separate processes. The session runs a platform, five engines, an order service and two entry daemons from settings files, and compares with a golden file: model list, plain and streamed completion, an order and its repeat at the other node with one execution, a data centre out and back, a preset change, status, audit trail, and SIGTERM to a node in the middle of a stream. Processes are this test binary again, so that nothing has to be built first. Ids, times and addresses are normalised; no field is left out.

--- /dev/null
+++ b/test/session_test.go
@@ -0,0 +1,261 @@
+package test
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/apricotgrade/apricotgrade/pkg/operator"
+	"github.com/apricotgrade/apricotgrade/pkg/standin"
+)
+
+const (
+	startTimeout = 40 * time.Second
+	// tokens is the length of each answer of the engines.
+	tokens = 12
+)
+
+var engines = []struct{ id, dataCentre string }{
+	{"h1", "north"}, {"h2", "north"}, {"h3", "north"}, {"h4", "coast"}, {"h5", "coast"},
+}
+
+const declarations = `[account office]
+key_sha256 = d9f376b9bf894cc2c24e74981b01839a2dcf84bf07c5bb6bea376e90c4c7ae81
+[data_centre north]
+[data_centre coast]
+[model draft]
+versions = 1
+[group g1]
+model = draft
+version = 1
+members = 2
+data_centre = north
+cold_limit = 4
+warm_limit = 64
+[group g2]
+model = draft
+version = 1
+members = 2
+data_centre = coast
+cold_limit = 4
+warm_limit = 64
+[service orders]
+once = POST /orders
+lookup = /orders/{key}
+cold_limit = 16
+warm_limit = 64
+[replica orders/a]
+address = <orders>
+data_centre = north
+[preset ordinary]
+[preset peak]
+weights = office:3
+`
+
+// startInstallation runs a platform, five engines, an order service and two
+// entry daemons, and waits until they serve.
+func startInstallation(t *testing.T) (in *installation, nodes map[string]*process) {
+	t.Helper()
+	in, nodes = newInstallation(t), map[string]*process{}
+	in.write("declarations.ini", declarations)
+	platform := "[platform]\nlisten = <platform>\ndeclaration = declarations.ini\n"
+	for _, e := range engines {
+		platform += fmt.Sprintf("[host %s]\naddress = <%s>\ndata_centre = %s\ndomain = %s-1\n", e.id, e.id, e.dataCentre, e.dataCentre)
+		in.start(programStandin, "engine", "-settings", in.write(e.id+".ini",
+			fmt.Sprintf("[engine]\nlisten = <%s>\nid = %s\ntokens = %d\n", e.id, e.id, tokens)))
+	}
+	in.start(programStandin, "service", "-settings", in.write("orders.ini", "[service]\nlisten = <orders>\n"))
+	in.start(programStandin, "platform", "-settings", in.write("platform.ini", platform))
+	for i, node := range []struct{ id, dataCentre string }{{"n1", "north"}, {"n2", "coast"}} {
+		nodes[node.id] = in.start(programDaemon, "-settings", in.write(node.id+".ini", fmt.Sprintf(`[node]
+id = %[1]s
+data_centre = %[2]s
+listen = <%[1]s>
+admin_listen = <%[1]s-admin>
+peer_listen = <%[1]s-peer>
+peer_key = peer-key
+platform = http://<platform>
+drain_notice = 1s
+[operator ann]
+key = operator-key
+`, node.id, node.dataCentre)))
+		// The second node starts once the first is registered, so that the
+		// versions of the registrations do not depend on the order of events.
+		eventually(t, startTimeout, func() string { return notServing(in, node.id, i+1) })
+	}
+	for _, id := range []string{"n1", "n2"} {
+		eventually(t, startTimeout, func() string { return notServing(in, id, 2) })
+	}
+	return in, nodes
+}
+
+// status returns the status of a node, or what is missing.
+func (in *installation) status(node string) (status operator.Status, missing string) {
+	out, code := in.operate("status", "--json", "--server", "http://"+in.address(node+"-admin"))
+	if code != 0 {
+		return status, out
+	}
+	if err := json.Unmarshal([]byte(out), &status); err != nil {
+		return status, err.Error()
+	}
+	return status, ""
+}
+
+// notServing says what a node lacks to serve among a number of nodes.
+func notServing(in *installation, node string, nodes int) string {
+	s, missing := in.status(node)
+	switch {
+	case missing != "":
+		return missing
+	case !s.Node.Ready || len(s.Nodes) != nodes:
+		return fmt.Sprintf("node %s is not ready or knows %d of %d nodes", node, len(s.Nodes), nodes)
+	case s.Accepted < s.Version:
+		return fmt.Sprintf("version %d is not accepted", s.Version)
+	}
+	for _, g := range s.Groups {
+		if !g.Whole || g.Phase != "serving" {
+			return fmt.Sprintf("group %s is not serving at %s", g.Name, node)
+		}
+	}
+	return ""
+}
+
+// busy says which target still has requests in flight as the first node sees
+// it, or nothing.
+func busy(in *installation) string {
+	s, missing := in.status("n1")
+	if missing != "" {
+		return missing
+	}
+	for _, target := range s.Targets {
+		if target.InFlight+target.PeersInFlight > 0 {
+			return target.ID + " has requests in flight"
+		}
+	}
+	return ""
+}
+
+// started counts the generations that the engines of a data centre started.
+func (tr *transcript) started(dataCentre string) int64 {
+	tr.t.Helper()
+	sum := int64(0)
+	for _, e := range engines {
+		if e.dataCentre == dataCentre {
+			_, body := tr.request(http.MethodGet, e.id, "/stats", "")
+			var stats standin.EngineStats
+			if err := json.Unmarshal([]byte(body), &stats); err != nil {
+				tr.t.Fatal(err)
+			}
+			sum += stats.Started
+		}
+	}
+	return sum
+}
+
+const (
+	plain    = `{"model":"draft","messages":[{"role":"user","content":"Header copy"}]}`
+	streamed = `{"model":"draft","stream":true,"messages":[{"role":"user","content":"Header copy"}]}`
+	order    = `{"item":"gondola end header","count":2}`
+)
+
+// TestSession guards against a path between processes that breaks while every
+// part works alone, and against answers, reports and exit codes that change
+// unnoticed.
+func TestSession(t *testing.T) {
+	g := gomega.NewWithT(t)
+	in, nodes := startInstallation(t)
+	tr := &transcript{t: t, in: in}
+
+	tr.call(http.MethodGet, "n1", "/v1/models", "")
+	tr.call(http.MethodPost, "n1", "/v1/chat/completions", plain)
+	tr.call(http.MethodPost, "n2", "/v1/chat/completions", streamed)
+
+	key := header{"Idempotency-Key", "order-1"}
+	first := tr.call(http.MethodPost, "n1", "/services/orders/orders", order, key)
+	g.Expect(tr.call(http.MethodPost, "n2", "/services/orders/orders", order, key)).To(gomega.Equal(first))
+	tr.call(http.MethodPost, "n2", "/services/orders/orders", `{"item":"other"}`, key)
+	tr.call(http.MethodPost, "n1", "/services/orders/orders", order)
+	tr.call(http.MethodGet, "orders", "/orders/order-1", "")
+	tr.operate("order", "office", "order-1")
+
+	tr.dataCentreOutAndBack(g)
+	tr.operate("preset", "peak")
+	tr.operate("preset", "none")
+	eventually(t, startTimeout, func() string { return busy(in) })
+	tr.operate("status")
+	tr.operate("audit")
+	tr.shutdown(g, nodes["n1"])
+	goldie.New(t, goldie.WithFixtureDir("golden")).Assert(t, "session", tr.normalised())
+}
+
+// dataCentreOutAndBack takes a data centre out, shows that it gets no new work
+// later than 3 s after that, and brings it back.
+func (tr *transcript) dataCentreOutAndBack(g *gomega.WithT) {
+	tr.t.Helper()
+	tr.operate("out", "coast")
+	time.Sleep(3 * time.Second)
+	before := tr.started("coast")
+	for range 10 {
+		for _, node := range []string{"n1", "n2"} {
+			status, body := tr.request(http.MethodPost, node, "/v1/chat/completions", plain)
+			g.Expect(status).To(gomega.Equal(http.StatusOK), body)
+		}
+	}
+	g.Expect(tr.started("coast")).To(gomega.Equal(before))
+	tr.note("20 requests to both nodes: none started in coast")
+	tr.operate("in", "coast")
+	eventually(tr.t, 20*time.Second, func() string {
+		tr.request(http.MethodPost, "n2", "/v1/chat/completions", plain)
+		if tr.started("coast") == before {
+			return "coast gets no work after it came back"
+		}
+		return ""
+	})
+	tr.note("requests start in coast again")
+}
+
+// shutdown sends SIGTERM to a node in the middle of a long stream.
+func (tr *transcript) shutdown(g *gomega.WithT, n1 *process) {
+	tr.t.Helper()
+	for _, e := range engines {
+		status, body := tr.request(http.MethodPost, e.id, "/control", `{"action":"slow","delay_ms":500}`)
+		g.Expect(status).To(gomega.BeNumerically("<", 300), body)
+	}
+	res, err := tr.open(http.MethodPost, "n1", "/v1/chat/completions", streamed)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = res.Body.Close() }()
+	lines := bufio.NewScanner(res.Body)
+	g.Expect(lines.Scan()).To(gomega.BeTrue())
+	begin := time.Now()
+	n1.signal(tr.t, syscall.SIGTERM)
+	eventually(tr.t, time.Second, func() string {
+		if status, _ := tr.request(http.MethodGet, "n1-admin", "/readyz", ""); status != http.StatusServiceUnavailable {
+			return "readyz still says ready"
+		}
+		return ""
+	})
+	n1.signal(tr.t, syscall.SIGTERM)
+	text := ""
+	for lines.Scan() {
+		text += lines.Text() + "\n"
+	}
+	g.Expect(lines.Err()).NotTo(gomega.HaveOccurred())
+	g.Expect(time.Since(begin)).To(gomega.BeNumerically(">", 3*time.Second), "the stream is shorter than the drain notice")
+	for i := range tokens {
+		g.Expect(text).To(gomega.ContainSubstring(fmt.Sprintf("word%d ", i)))
+	}
+	g.Expect(strings.TrimSpace(text)).To(gomega.HaveSuffix("data: [DONE]"))
+	g.Expect(n1.wait(20 * time.Second)).To(gomega.Equal(0))
+	tr.note("SIGTERM to n1 in the middle of a stream, twice: not ready at once, stream whole, exit 0")
+	status, body := tr.request(http.MethodPost, "n2", "/v1/chat/completions", plain)
+	g.Expect(status).To(gomega.Equal(http.StatusOK), body)
+	tr.note("n2 serves")
+}
