Hold the place of a generation that may be resumed

Cause: when connections went silent, the node gave the places of their generations to new requests at once. The queue estimate then read the stall as a slow target and refused seven requests.

Ruled out: a longer wait of resumes, which only makes the answer later.

The estimate now needs 8 sends under a limit.

--- a/pkg/core/admission/estimate.go
+++ b/pkg/core/admission/estimate.go
@@ -9,6 +9,10 @@
 const (
 	// minBusy is the time under a limit after which a service rate is known.
 	minBusy = time.Second
+	// minSends is the number of waiting requests sent under a limit after which
+	// a rate is known. Fewer say little: connections that went silent hold all
+	// places for seconds and then free them at once.
+	minSends = 8
 	// maxBusy is the time over which the rate is averaged.
 	maxBusy = 5 * time.Second
 	// rateFor is how long a rate holds without waiting requests.
@@ -27,6 +31,7 @@
 	// busy is the time under the limit, sent the waiting tokens sent in it.
 	busy   time.Duration
 	sent   int64
+	sends  int
 	seenAt time.Duration
 }
 
@@ -35,12 +40,13 @@
 	case m.limited && m.cost > 0:
 		m.busy += now - m.seenAt
 	case now-m.seenAt > rateFor:
-		m.busy, m.sent = 0, 0
+		m.busy, m.sent, m.sends = 0, 0, 0
 	}
 	m.seenAt = now
 	if m.busy > maxBusy {
 		m.busy /= 2
 		m.sent /= 2
+		m.sends /= 2
 	}
 }
 
@@ -58,13 +64,14 @@
 func (m *meter) waited(now time.Duration, cost int64) {
 	m.note(now)
 	m.sent += cost
+	m.sends++
 }
 
 // time returns how long work takes to be sent, or 0 when nothing holds it back
 // or the rate is not known.
 func (m *meter) time(now time.Duration, cost float64) time.Duration {
 	m.note(now)
-	if !m.limited || m.cost == 0 || m.busy < minBusy || m.sent == 0 {
+	if !m.limited || m.cost == 0 || m.busy < minBusy || m.sends < minSends {
 		return 0
 	}
 	return seconds(cost * m.busy.Seconds() / float64(m.sent))
--- a/pkg/core/routing/filter.go
+++ b/pkg/core/routing/filter.go
@@ -55,10 +55,14 @@
 	}
 }
 
+// holds reports whether the place of the request's last attempt is still held
+// at a target.
+func (s *System) holds(tr *track, req *state.Request) bool { return s.held[req.Arrival.ID] == tr }
+
 // fits reports whether a target can take the request now.
 func (s *System) fits(now time.Duration, tr *track, req *state.Request) bool {
 	row := tr.row
-	if row.Idle || row.Leaving || row.Address == "" || !s.hasRoom(tr) || !s.matches(row, req) {
+	if row.Idle || row.Leaving || row.Address == "" || !s.holds(tr, req) && !s.hasRoom(tr) || !s.matches(row, req) {
 		return false
 	}
 	if row.Group != "" && !s.t.Switches.IgnoreWholeness {
--- a/pkg/core/routing/load.go
+++ b/pkg/core/routing/load.go
@@ -36,7 +36,12 @@
 }
 
 // use notes that an attempt goes to a target.
-func (s *System) use(now time.Duration, tr *track) {
+func (s *System) use(now time.Duration, tr *track, id state.RequestID) {
+	if s.held[id] == tr {
+		delete(s.held, id)
+		s.watch(now, tr)
+		return
+	}
 	tr.row.InFlight++
 	tr.row.SentSinceReport++
 	tr.sentSinceFetch++
@@ -96,9 +101,11 @@
 		s.firstToken(now, tr, now-req.SentAt, out)
 		return
 	}
-	tr.row.InFlight--
-	s.grew = true
-	s.t.Targets.Touch(req.Target)
+	if s.mayResume(req, ev) {
+		s.held[ev.Request] = tr
+	} else {
+		s.release(tr)
+	}
 	switch ev.Failure {
 	case state.FailureConnect, state.FailureBroken:
 		tr.row.Suspect, tr.row.SuspectAt = true, now
@@ -110,8 +117,38 @@
 		}
 	default:
 	}
+}
+
+// release gives back the place of an attempt at a target.
+func (s *System) release(tr *track) {
+	tr.row.InFlight--
+	s.grew = true
+	s.t.Targets.Touch(tr.row.ID)
 	if !tr.declared && tr.row.InFlight == 0 {
-		s.drop(req.Target)
+		s.drop(tr.row.ID)
+	}
+}
+
+// mayResume reports whether the engine still works on a generation after its
+// attempt has ended. Its place is held until the retry system has decided, so
+// that the target gets no more than it bears and the resume finds room.
+func (s *System) mayResume(req *state.Request, ev state.AttemptEvent) bool {
+	return req.Arrival.Kind == state.KindModel && ev.Generation != "" &&
+		(ev.Failure == state.FailureBroken || ev.Failure == state.FailureSilent)
+}
+
+// followHeld releases the places of requests that are not resumed.
+func (s *System) followHeld() {
+	for _, id := range s.requests.Take() {
+		tr := s.held[id]
+		if tr == nil {
+			continue
+		}
+		req := s.t.Requests.Get(id)
+		if req == nil || req.Phase == state.RequestEnded || req.Next != state.NextResume {
+			delete(s.held, id)
+			s.release(tr)
+		}
 	}
 }
 
--- a/pkg/core/routing/pick.go
+++ b/pkg/core/routing/pick.go
@@ -33,7 +33,7 @@
 		return "", false
 	}
 	tr := s.choose(s.scratch)
-	s.use(now, tr)
+	s.use(now, tr, req.Arrival.ID)
 	return tr.row.ID, true
 }
 
--- a/pkg/core/routing/routing.go
+++ b/pkg/core/routing/routing.go
@@ -27,9 +27,12 @@
 	distance map[state.DataCentre]float64
 	loads    map[state.NodeID][]state.TargetCount
 	seen     map[state.HostID]seenHost
-	fetches  *state.DueQueue[state.TargetID]
-	expiry   *state.DueQueue[state.TargetID]
-	hints    *hints
+	requests *state.DirtySet[state.RequestID]
+	// held are the places of attempts that may be resumed.
+	held    map[state.RequestID]*track
+	fetches *state.DueQueue[state.TargetID]
+	expiry  *state.DueQueue[state.TargetID]
+	hints   *hints
 	// unheard counts registered peers whose counts are too old.
 	unheard   int
 	nextHeard time.Duration
@@ -78,7 +81,8 @@
 	return &System{
 		t: t, groups: t.Groups.Subscribe(), hosts: t.Hosts.Subscribe(), peers: t.Peers.Subscribe(),
 		tracks: map[state.TargetID]*track{}, loads: map[state.NodeID][]state.TargetCount{},
-		seen:    map[state.HostID]seenHost{},
+		seen:     map[state.HostID]seenHost{},
+		requests: t.Requests.Subscribe(), held: map[state.RequestID]*track{},
 		fetches: state.NewDueQueue[state.TargetID](), expiry: state.NewDueQueue[state.TargetID](),
 		hints: newHints(),
 	}
@@ -91,6 +95,7 @@
 		s.version, s.accepted = c.Head.Version, c.Accepted
 		s.rebuild(now)
 	}
+	s.followHeld()
 	for _, id := range s.hosts.Take() {
 		s.hostChanged(id)
 	}
