--- a/pkg/scenario/attempt.go
+++ b/pkg/scenario/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/apricotgrade/apricotgrade/pkg/apierror"
@@ -123,13 +124,7 @@
 	if a.engine == nil {
 		return
 	}
-	list := a.engine.attempts
-	for i, other := range list {
-		if other == a {
-			a.engine.attempts = append(list[:i:i], list[i+1:]...)
-			return
-		}
-	}
+	a.engine.attempts = slices.DeleteFunc(a.engine.attempts, func(other *attempt) bool { return other == a })
 }
 
 func (a *attempt) atEngine() {
--- a/pkg/scenario/random_test.go
+++ b/pkg/scenario/random_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"regexp"
 	"strconv"
 	"strings"
 	"testing"
@@ -70,16 +71,16 @@
 	"<node>": nodes, "<host>": hosts, "<centre>": centres, "<target>": targets, "<key>": keys,
 }
 
+var placeholder = regexp.MustCompile(`<\w+>`)
+
 var stepGen = rapid.Custom(func(t *rapid.T) step {
 	at := time.Duration(rapid.IntRange(0, int(faultWindow/time.Millisecond)).Draw(t, "at")) * time.Millisecond
 	args := strings.Fields(rapid.SampledFrom(kinds).Draw(t, "kind"))
 	for i, arg := range args {
-		for name, list := range words {
-			if strings.Contains(arg, name) {
-				arg = strings.Replace(arg, name, rapid.SampledFrom(list).Draw(t, name), 1)
-			}
+		name := placeholder.FindString(arg)
+		if name != "" {
+			args[i] = placeholder.ReplaceAllString(arg, rapid.SampledFrom(words[name]).Draw(t, name))
 		}
-		args[i] = arg
 	}
 	return step{at, args}
 })
