--- a/pkg/scenario/request.go
+++ b/pkg/scenario/request.go
@@ -163,6 +163,9 @@
 
 func (w *World) reconnect(r *Request) {
 	next := &Request{Arrival: r.Arrival, body: r.body, reconnects: r.reconnects + 1, resumes: r}
+	if r.Arrival.Resume != nil {
+		next.generation, next.received = r.generation, r.received
+	}
 	if r.received > 0 && r.attempt != nil {
 		next.generation, next.received = r.generation, r.received
 		next.Arrival.Resume = &state.ResumePoint{
