Refuse to forget a node that answers

Forget counts the node as having reported every version, on the operator's word. For a node that still serves, that word would make a change accepted while the node sends work by the version before. A node that answered within 1 s is refused with the remedy.

--- a/pkg/core/configuration/answer.go
+++ b/pkg/core/configuration/answer.go
@@ -10,6 +10,9 @@
 	"github.com/apricotgrade/apricotgrade/pkg/event"
 )
 
+// aliveWithin is how recent an answer shows that a node is not gone.
+const aliveWithin = time.Second
+
 // waitingOperator waits until a version is in force.
 type waitingOperator struct {
 	command uint64
@@ -28,18 +31,29 @@
 			s.refuse(ch, invalid("own_node", "this node is alive; send the command to another node"), out)
 			return
 		}
+		if s.answers(now, cmd.Node) {
+			s.refuse(ch, invalid("node_alive", fmt.Sprintf(
+				"node %q answers; forget is for nodes that are gone for good, shut this one down first", cmd.Node)), out)
+			return
+		}
 		s.spread.gone[cmd.Node] = now
 	}
 	s.commits.queue = append(s.commits.queue, ch)
 }
 
+// answers reports whether a node has answered lately, so that it is not gone.
+func (s *System) answers(now time.Duration, id state.NodeID) bool {
+	p := s.t.Peers.Get(id)
+	return p != nil && p.Linked && p.HeardAt > 0 && now-p.HeardAt < aliveWithin
+}
+
 // expire answers operators whose change could not be written in time.
 func (s *System) expire(now time.Duration, out *state.Outbox) {
 	cm := &s.commits
 	for len(cm.queue) > 0 && now-cm.queue[0].arrived >= answerWithin {
 		ch := cm.queue[0]
 		cm.queue = cm.queue[1:]
-		s.refuse(ch, s.notTried(), out)
+		s.refuse(ch, s.notTried(ch), out)
 	}
 	ch := cm.current
 	if ch == nil || ch.command == nil || ch.answered || now-ch.arrived < answerWithin {
@@ -50,9 +64,14 @@
 		ch.proposal.head.Version), apierror.Unknown)}, out)
 }
 
-func (s *System) notTried() *apierror.Error {
-	if s.head.down || !s.t.Config.Known {
+func (s *System) notTried(ch *change) *apierror.Error {
+	switch {
+	case s.head.down || !s.t.Config.Known:
 		return storeDown()
+	case ch.command.Base > s.t.Config.Head.Version:
+		return apierror.New(apierror.KindUnavailable, "version_not_read", fmt.Sprintf(
+			"this node has not read version %d, nothing was changed; check the base version, or send the command to another node",
+			ch.command.Base), apierror.NotRun)
 	}
 	return apierror.New(apierror.KindUnavailable, "version_not_known", fmt.Sprintf(
 		"version %d is not yet known to enough nodes (missing: %s), nothing was changed; restore them, or use forget for nodes that are gone for good",
