Read the audit trail by key and check more pages by tests

Versions are consecutive, so the last N rows are read by their keys. An order's answer that is too large for its row is read from the object store; it was shown as empty. A SIGTERM before the node ran was dropped by go-zero's handler and the daemon lived on; the signal is now taken first. Metric names and exit codes in operations.md are compared with the code.

--- a/pkg/command/command_test.go
+++ b/pkg/command/command_test.go
@@ -5,11 +5,13 @@
 	"context"
 	"encoding/json"
 	"flag"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -156,3 +158,23 @@
 	g.Expect(code).To(gomega.Equal(command.ExitOK))
 	g.Expect(seen).To(gomega.Equal("Bearer secret"))
 }
+
+// TestExitCodeDocumentation guards against a page whose exit codes differ from
+// those of the program.
+func TestExitCodeDocumentation(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "operations.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for code, words := range map[int]string{
+		command.ExitOK: "Done", command.ExitFailure: "Failed", command.ExitUsage: "Wrong arguments",
+		command.ExitInvalid: "declarations have faults", command.ExitRefused: "server refused",
+		command.ExitUnknown: "outcome is unknown", command.ExitNotInForce: "not known to be in force",
+		command.ExitUnreachable: "No server was reached",
+	} {
+		row := regexp.MustCompile(fmt.Sprintf(`(?m)^\| %d \| (.*) \|$`, code)).FindSubmatch(page)
+		if row == nil || !strings.Contains(string(row[1]), words) {
+			t.Errorf("docs/operations.md has no row of exit code %d with %q", code, words)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/metric/docs_test.go
@@ -0,0 +1,61 @@
+package metric_test
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/apricotgrade/apricotgrade/pkg/apierror"
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	"github.com/apricotgrade/apricotgrade/pkg/daemon"
+	"github.com/apricotgrade/apricotgrade/pkg/gateway"
+	"github.com/apricotgrade/apricotgrade/pkg/metric"
+)
+
+var (
+	written    = regexp.MustCompile(`(?m)^(apricotgrade_\w+?)(?:_bucket|_sum|_count)?[{ ]`)
+	documented = regexp.MustCompile("`(apricotgrade_\\w+)")
+)
+
+// TestDocumentation guards against metrics that the operators' page lacks, or
+// names that a release no longer writes.
+func TestDocumentation(t *testing.T) {
+	r := metric.New()
+	r.Daemon(&daemon.Counters{}, func() int { return 0 })
+	r.Gateway(&gateway.Counters{})
+	refusal := apierror.New(apierror.KindOverloaded, "x", "y", apierror.NotRun)
+	for _, in := range []state.Input{
+		state.RequestArrived{ID: "r"}, state.RequestArrived{ID: "s"}, state.StoreReply{ID: 1},
+		state.AttemptEvent{Request: "r"}, state.AttemptEvent{Request: "r", Stage: state.AttemptEnded},
+	} {
+		r.Step(time.Second, in, []state.Output{state.StoreRequest{ID: 1}, state.StartAttempt{Request: "r"}}, 0)
+	}
+	r.Step(time.Second, state.Tick{}, []state.Output{state.Reply{Request: "r"}, state.Reply{Request: "s", Refusal: refusal}}, 0)
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "operations.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, want := names(written, text(r)), names(documented, string(page))
+	for _, name := range got {
+		if !slices.Contains(want, name) {
+			t.Errorf("docs/operations.md lacks %s", name)
+		}
+	}
+	for _, name := range want {
+		if !slices.Contains(got, name) {
+			t.Errorf("docs/operations.md names %s, which is not written", name)
+		}
+	}
+}
+
+func names(pattern *regexp.Regexp, text string) []string {
+	var list []string
+	for _, m := range pattern.FindAllStringSubmatch(text, -1) {
+		list = append(list, m[1])
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
--- a/pkg/node/main.go
+++ b/pkg/node/main.go
@@ -16,6 +16,11 @@
 // has ended it gracefully.
 func Main(ctx context.Context, path string, logTo io.Writer) error {
 	QuietLibraries()
+	// go-zero takes SIGTERM from its first import on, and drops it now. A
+	// signal that comes before the node runs must wait here.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
 	cfg, err := settings.LoadNode(path)
 	if err != nil {
 		return err
@@ -25,8 +30,6 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	go func() {
 		// Further signals are received and dropped, so that they neither end
 		// the process nor shorten the shutdown.
--- a/pkg/operator/handler.go
+++ b/pkg/operator/handler.go
@@ -23,6 +23,9 @@
 // defaultAudit is the number of audit entries without a limit.
 const defaultAudit = 100
 
+// maxAudit bounds the rows of one read of the table service.
+const maxAudit = 500
+
 func (s *Server) status(*http.Request, string) (any, error) {
 	var status Status
 	s.daemon.View(func(t *state.Tables) { status = NewStatus(t, s.daemon.Now()) })
@@ -60,13 +63,17 @@
 		}
 	}
 	if v := r.URL.Query().Get("limit"); v != "" {
-		if limit, err = strconv.Atoi(v); err != nil || limit < 1 {
-			return nil, invalid("limit", "limit must be a number of at least 1")
+		if limit, err = strconv.Atoi(v); err != nil || limit < 1 || limit > maxAudit {
+			return nil, invalid("limit", "limit must be a number from 1 to "+strconv.Itoa(maxAudit))
 		}
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), storeTimeout)
 	defer cancel()
-	rows, err := s.tables.Scan(ctx, state.PrefixAudit)
+	latest, err := s.latest(ctx)
+	if err != nil {
+		return nil, err
+	}
+	rows, err := s.platform.Read(ctx, auditKeys(latest, since, limit))
 	if err != nil {
 		return nil, storeDown(err)
 	}
@@ -76,16 +83,43 @@
 		if err := state.Decode(row.Value, &record); err != nil {
 			return nil, errors.Wrap(err, row.Key)
 		}
-		if uint64(record.Version) > since {
-			audit.Entries = append(audit.Entries, auditEntry(record))
-		}
-	}
-	if extra := len(audit.Entries) - limit; extra > 0 {
-		audit.Entries = audit.Entries[extra:]
+		audit.Entries = append(audit.Entries, auditEntry(record))
 	}
 	return audit, nil
 }
 
+// latest returns the version in the table service, which the node's own copy
+// may lag behind.
+func (s *Server) latest(ctx context.Context) (uint64, error) {
+	rows, err := s.platform.Read(ctx, []string{state.KeyHead})
+	if err != nil {
+		return 0, storeDown(err)
+	}
+	if len(rows) == 0 {
+		return 0, nil
+	}
+	var head state.Head
+	if err := state.Decode(rows[0].Value, &head); err != nil {
+		return 0, errors.Wrap(err, state.KeyHead)
+	}
+	return uint64(head.Version), nil
+}
+
+// auditKeys returns the keys of the last versions after since, at most limit.
+// Reading them by key costs the same however long the trail is, which a scan
+// does not.
+func auditKeys(latest, since uint64, limit int) []string {
+	first := since + 1
+	if latest >= uint64(limit) {
+		first = max(first, latest-uint64(limit)+1)
+	}
+	var keys []string
+	for v := first; v <= latest; v++ {
+		keys = append(keys, state.KeyAudit(state.Version(v)))
+	}
+	return keys
+}
+
 func auditEntry(r state.AuditRecord) AuditEntry {
 	e := AuditEntry{Version: uint64(r.Version), Operator: r.Operator, Action: r.Action, Before: r.Before, After: r.After}
 	if r.AtUnixMilli != 0 {
@@ -111,7 +145,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), storeTimeout)
 	defer cancel()
-	rows, err := s.tables.Read(ctx, []string{state.KeyClaim(state.AccountID(account), key)})
+	rows, err := s.platform.Read(ctx, []string{state.KeyClaim(state.AccountID(account), key)})
 	if err != nil {
 		return nil, storeDown(err)
 	}
@@ -127,12 +161,30 @@
 		Account: account, Key: key, State: claimStates[row.Phase], Outcome: claimOutcomes[row.Phase],
 		Service: row.Service, Request: string(row.Request), Node: string(row.Holder),
 	}
+	if row.Answer == nil && row.Object != "" {
+		if row.Answer, err = s.storedAnswer(ctx, row.Object); err != nil {
+			return nil, err
+		}
+	}
 	if row.Answer != nil {
 		order.Status, order.Answer = row.Answer.Status, string(row.Answer.Body)
 	}
 	return order, nil
 }
 
+// storedAnswer returns an answer that is too large for a row.
+func (s *Server) storedAnswer(ctx context.Context, key string) (*state.Answer, error) {
+	b, err := s.platform.Get(ctx, key)
+	if err != nil {
+		return nil, storeDown(err)
+	}
+	var answer state.Answer
+	if err := state.Decode(b, &answer); err != nil {
+		return nil, errors.Wrap(err, key)
+	}
+	return &answer, nil
+}
+
 func (s *Server) plan(r *http.Request, _ string) (any, error) {
 	change, err := readChange(r)
 	if err != nil {
@@ -170,8 +222,8 @@
 }
 
 func storeDown(err error) *apierror.Error {
-	return apierror.New(apierror.KindStoreDown, "table_service_down",
-		fmt.Sprintf("the platform's table service does not answer (%s); try again later", err), apierror.NotRun).After(time.Second)
+	return apierror.New(apierror.KindStoreDown, "store_down",
+		fmt.Sprintf("the platform's store does not answer (%s); try again later", err), apierror.NotRun).After(time.Second)
 }
 
 // writeError answers with the typed error that err is or holds.
--- a/pkg/operator/server.go
+++ b/pkg/operator/server.go
@@ -24,7 +24,7 @@
 	// changeTimeout bounds the wait for the outcome of a change. It covers a
 	// write to the table service and reading it back after a lost answer.
 	changeTimeout = 15 * time.Second
-	// storeTimeout bounds a read of the table service.
+	// storeTimeout bounds the reads of the platform's stores for one request.
 	storeTimeout = 3 * time.Second
 	// healthTimeout is the time after which an event loop that does not answer
 	// counts as unhealthy.
@@ -42,7 +42,7 @@
 // Server serves the operator API of one node.
 type Server struct {
 	daemon    Daemon
-	tables    platform.Tables
+	platform  platform.Platform
 	metrics   *metric.Recorder
 	operators []credential
 }
@@ -55,8 +55,8 @@
 }
 
 // NewServer returns the operator API of a node.
-func NewServer(d Daemon, tables platform.Tables, metrics *metric.Recorder, operators []settings.Operator) *Server {
-	s := &Server{daemon: d, tables: tables, metrics: metrics}
+func NewServer(d Daemon, p platform.Platform, metrics *metric.Recorder, operators []settings.Operator) *Server {
+	s := &Server{daemon: d, platform: p, metrics: metrics}
 	for _, op := range operators {
 		s.operators = append(s.operators, credential{op.Name, sha256.Sum256([]byte(op.Key))})
 	}
--- a/pkg/operator/server_test.go
+++ b/pkg/operator/server_test.go
@@ -144,6 +144,7 @@
 	for v := state.Version(1); v <= 5; v++ {
 		write(state.KeyAudit(v), state.AuditRecord{Version: v, Operator: "ann", Action: "preset", AtUnixMilli: 1000})
 	}
+	write(state.KeyHead, state.Head{Version: 5})
 	client := operator.NewClient([]string{serve(t, newFake(t), store).URL}, "key-a")
 	order, err := client.Order(t.Context(), "a", "k/1 x")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -152,6 +153,18 @@
 	}))
 	_, err = client.Order(t.Context(), "a", "other")
 	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("no_claim")))
+	write(state.KeyClaim("a", "large"), state.ClaimRow{Phase: state.ClaimDone, Object: "claim-answer/x"})
+	g.Expect(store.Put(t.Context(), "claim-answer/x", state.Encode(state.Answer{Status: 200, Body: []byte("large")}))).To(gomega.Succeed())
+	order, err = client.Order(t.Context(), "a", "large")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(order.Answer).To(gomega.Equal("large"))
+	for since, want := range map[uint64]int{0: 5, 3: 2, 5: 0, 9: 0} {
+		audit, err := client.Audit(t.Context(), since, 500)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(audit.Entries).To(gomega.HaveLen(want))
+	}
+	_, err = client.Audit(t.Context(), 0, 501)
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("from 1 to 500")))
 	audit, err := client.Audit(t.Context(), 2, 2)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(audit.Entries).To(gomega.HaveLen(2))
