Bring an empty platform up by the command line

The first apply put the alphabetically first preset in force, as presets were sorted by name and the core takes the first; with the example of the franchise office that is maintenance. Presets now keep the order of the file. plan also refuses declarations without the preset in force, as apply does. The time that apply prints counted from the answer, which comes only once the change is in force; it now counts from sending.

--- a/pkg/command/change.go
+++ b/pkg/command/change.go
@@ -12,8 +12,12 @@
 	f.DurationVar(wait, "wait", defaultWait, "time to wait until the change is in force everywhere; 0 does not wait")
 }
 
-// settle reports a committed change and waits until it is in force everywhere.
-func settle(ctx context.Context, e *env, wait time.Duration, reply operator.ChangeReply, err error) error {
+// settle makes a change, reports it and waits until it is in force everywhere.
+// The time counts from before the change was sent, as a server answers only
+// when the change is in force or late.
+func settle(ctx context.Context, e *env, wait time.Duration, change func(context.Context) (operator.ChangeReply, error)) error {
+	start := time.Now()
+	reply, err := change(ctx)
 	if err != nil {
 		return err
 	}
@@ -23,7 +27,6 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	start := time.Now()
 	status, err := e.client.WaitInForce(ctx, reply.Version)
 	if err != nil {
 		return &notInForceError{reply.Version, status.Behind(reply.Version), err}
@@ -48,8 +51,9 @@
 			if len(args) != 1 {
 				return errUsage
 			}
-			reply, err := change(ctx, e.client, args[0], base)
-			return settle(ctx, e, wait, reply, err)
+			return settle(ctx, e, wait, func(ctx context.Context) (operator.ChangeReply, error) {
+				return change(ctx, e.client, args[0], base)
+			})
 		},
 	}
 }
--- a/pkg/command/declare.go
+++ b/pkg/command/declare.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/apricotgrade/apricotgrade/pkg/declaration"
+	"github.com/apricotgrade/apricotgrade/pkg/operator"
 )
 
 // defaultWait covers the time in which a change is in force everywhere, with
@@ -112,8 +113,9 @@
 			if base == 0 {
 				base = plan.Base
 			}
-			reply, err := e.client.Apply(ctx, text, base)
-			return settle(ctx, e, wait, reply, err)
+			return settle(ctx, e, wait, func(ctx context.Context) (operator.ChangeReply, error) {
+				return e.client.Apply(ctx, text, base)
+			})
 		},
 	}
 }
--- a/pkg/declaration/parse.go
+++ b/pkg/declaration/parse.go
@@ -159,14 +159,14 @@
 }
 
 // sortDocument puts every list without an order of its own in order of name,
-// so that the order of a file has no effect.
+// so that the order of a file has no effect. Presets keep their order, because
+// the first one is put in force with the first configuration.
 func sortDocument(doc *state.Document) {
 	slices.SortFunc(doc.Accounts, func(a, b state.AccountSpec) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(doc.DataCentres, func(a, b state.DataCentreSpec) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(doc.Models, func(a, b state.ModelSpec) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(doc.Groups, func(a, b state.GroupSpec) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(doc.Services, func(a, b state.ServiceSpec) int { return cmp.Compare(a.Name, b.Name) })
-	slices.SortFunc(doc.Presets, func(a, b state.PresetSpec) int { return cmp.Compare(a.Name, b.Name) })
 	for i := range doc.Services {
 		slices.SortFunc(doc.Services[i].Replicas, func(a, b state.ServiceReplica) int { return cmp.Compare(a.Name, b.Name) })
 	}
--- a/pkg/declaration/table.go
+++ b/pkg/declaration/table.go
@@ -25,7 +25,7 @@
 // Table describes the declarations.
 var Table = inifile.Table{
 	Title: "Sections",
-	Help:  "The order of sections has no meaning.",
+	Help:  "The order of sections has no meaning but for presets: with the first configuration the first preset is put in force.",
 	Sections: []inifile.Section{
 		{
 			Name: "account", Named: true, Required: true, Help: "A client account.",
--- a/pkg/operator/change.go
+++ b/pkg/operator/change.go
@@ -21,13 +21,20 @@
 	if err != nil {
 		return nil, err
 	}
-	// The preset in force must still exist afterwards.
+	if err := s.keepsPreset(doc); err != nil {
+		return nil, err
+	}
+	return s.operate(r.Context(), operator, change, state.OperatorCommand{Action: state.ActionApply, Document: &doc})
+}
+
+// keepsPreset refuses a document without the preset in force.
+func (s *Server) keepsPreset(doc state.Document) error {
 	var preset string
 	s.daemon.View(func(t *state.Tables) { preset = t.Config.Head.Preset })
 	if preset != "" && !hasPreset(doc, preset) {
-		return nil, invalid("declarations", "preset "+preset+" is in force and not declared; declare it, or put another preset in force first")
+		return invalid("declarations", "preset "+preset+" is in force and not declared; declare it, or put another preset in force first")
 	}
-	return s.operate(r.Context(), operator, change, state.OperatorCommand{Action: state.ActionApply, Document: &doc})
+	return nil
 }
 
 func (s *Server) preset(r *http.Request, operator string) (any, error) {
--- a/pkg/operator/handler.go
+++ b/pkg/operator/handler.go
@@ -198,6 +198,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := s.keepsPreset(doc); err != nil {
+		return nil, err
+	}
 	return Plan{Base: uint64(version), Changes: append(declaration.Changes{}, declaration.Diff(present, doc)...)}, nil
 }
 
--- a/test/session_test.go
+++ b/test/session_test.go
@@ -75,7 +75,20 @@
 	in.start(programStandin, "service", "-settings", in.write("orders.ini", "[service]\nlisten = <orders>\n"))
 	in.start(programStandin, "platform", "-settings", in.write("platform.ini", platform))
 	for i, node := range []struct{ id, dataCentre string }{{"n1", "north"}, {"n2", "coast"}} {
-		nodes[node.id] = in.start(programDaemon, "-settings", in.write(node.id+".ini", fmt.Sprintf(`[node]
+		nodes[node.id] = in.start(programDaemon, "-settings", in.write(node.id+".ini", nodeSettings(node.id, node.dataCentre)))
+		// The second node starts once the first is registered, so that the
+		// versions of the registrations do not depend on the order of events.
+		eventually(t, startTimeout, func() string { return notServing(in, node.id, i+1) })
+	}
+	for _, id := range []string{"n1", "n2"} {
+		eventually(t, startTimeout, func() string { return notServing(in, id, 2) })
+	}
+	return in, nodes
+}
+
+// nodeSettings returns the settings of an entry daemon.
+func nodeSettings(id, dataCentre string) string {
+	return fmt.Sprintf(`[node]
 id = %[1]s
 data_centre = %[2]s
 listen = <%[1]s>
@@ -86,15 +99,7 @@
 drain_notice = 1s
 [operator ann]
 key = operator-key
-`, node.id, node.dataCentre)))
-		// The second node starts once the first is registered, so that the
-		// versions of the registrations do not depend on the order of events.
-		eventually(t, startTimeout, func() string { return notServing(in, node.id, i+1) })
-	}
-	for _, id := range []string{"n1", "n2"} {
-		eventually(t, startTimeout, func() string { return notServing(in, id, 2) })
-	}
-	return in, nodes
+`, id, dataCentre)
 }
 
 // status returns the status of a node, or what is missing.
