Copy rows only inside the event loop for a status

At the design scale (320 nodes, 600 groups, 4,800 hosts) a status held the event loop for 3.8 ms, in one run on a machine with a load of 21 on 10 cores. The counts per data centre and the stranded hosts are now derived outside the loop; the copy takes 1.4 to 1.9 ms in three runs on the same loaded machine. A copy kept up to date by dirty sets was ruled out: a status is asked for by people.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -82,9 +82,7 @@
 
 // Status returns what the node knows, as the operator API reports it.
 func (n *Node) Status() operator.Status {
-	var status operator.Status
-	n.daemon.View(func(t *state.Tables) { status = operator.NewStatus(t, n.daemon.Now()) })
-	return status
+	return operator.ReadStatus(n.daemon)
 }
 
 // Done is closed when the node has shut down.
--- a/pkg/operator/handler.go
+++ b/pkg/operator/handler.go
@@ -27,9 +27,7 @@
 const maxAudit = 500
 
 func (s *Server) status(*http.Request, string) (any, error) {
-	var status Status
-	s.daemon.View(func(t *state.Tables) { status = NewStatus(t, s.daemon.Now()) })
-	return status, nil
+	return ReadStatus(s.daemon), nil
 }
 
 func (s *Server) declarations(*http.Request, string) (any, error) {
--- a/pkg/operator/view.go
+++ b/pkg/operator/view.go
@@ -23,19 +23,33 @@
 	now time.Duration
 }
 
-// NewStatus returns the status of a node from its tables at a time of its
-// clock.
-func NewStatus(t *state.Tables, now time.Duration) Status {
+// ReadStatus returns the status of a node. Only the copying of rows runs inside
+// the event loop.
+func ReadStatus(d Daemon) Status {
+	var s Status
+	d.View(func(t *state.Tables) { s = copyTables(t, d.Now()) })
+	hosts := map[string]int{}
+	for _, h := range s.Hosts {
+		if h.Listed {
+			hosts[h.DataCentre]++
+		}
+	}
+	for i := range s.DataCentres {
+		s.DataCentres[i].Hosts = hosts[s.DataCentres[i].Name]
+	}
+	s.Stranded = stranded(s.Hosts, s.Groups)
+	return s
+}
+
+func copyTables(t *state.Tables, now time.Duration) Status {
 	v := viewer{t, now}
 	c := t.Config
-	s := Status{
+	return Status{
 		Node: v.node(), Version: uint64(c.Head.Version), Accepted: uint64(c.Accepted),
 		DocumentVersion: uint64(c.Head.DocumentVersion), Preset: c.Head.Preset,
 		Nodes: v.nodes(), DataCentres: v.dataCentres(), TargetsOut: texts(c.Head.OutTargets),
 		Groups: v.groups(), Hosts: v.hosts(), Targets: v.targets(), Accounts: v.accounts(), Leases: v.leases(),
 	}
-	s.Stranded = stranded(s.Hosts, s.Groups)
-	return s
 }
 
 func (v viewer) age(at time.Duration) int64 {
@@ -75,16 +89,10 @@
 }
 
 func (v viewer) dataCentres() []DataCentreStatus {
-	hosts := map[state.DataCentre]int{}
-	for _, h := range v.t.Hosts.All() {
-		if h.Listed {
-			hosts[h.DataCentre]++
-		}
-	}
 	list := make([]DataCentreStatus, 0, len(v.t.Config.Document.DataCentres))
 	for _, d := range v.t.Config.Document.DataCentres {
 		list = append(list, DataCentreStatus{
-			Name: string(d.Name), Region: d.Region, Hosts: hosts[d.Name],
+			Name: string(d.Name), Region: d.Region,
 			Out: slices.Contains(v.t.Config.Head.OutDataCentres, d.Name),
 		})
 	}
