--- a/pkg/bench/registry.go
+++ b/pkg/bench/registry.go
@@ -5,6 +5,10 @@
 import (
 	"context"
 	"io"
+
+	"github.com/pkg/errors"
+
+	"github.com/apricotgrade/apricotgrade/pkg/bench/slopes"
 )
 
 // Options are those of all measurements.
@@ -28,7 +32,24 @@
 }
 
 // All returns the measurements in order of name. A new one is added here.
-func All() []Bench { return nil }
+func All() []Bench {
+	return []Bench{
+		{Name: "slopes", Synopsis: "control cost of a node against nodes, groups, members, accounts and changes; [PLOT.png]", Run: runSlopes},
+	}
+}
+
+func runSlopes(_ context.Context, o Options) error {
+	plot := ""
+	switch {
+	case o.JSON:
+		return errors.New("slopes has no JSON form; run it without --json")
+	case len(o.Args) > 1:
+		return errors.New("slopes takes at most one argument, the file of the plot")
+	case len(o.Args) == 1:
+		plot = o.Args[0]
+	}
+	return slopes.Run(o.Out, plot, slopes.Options{Seed: o.Seed})
+}
 
 // Find returns the measurement with a name.
 func Find(name string) (Bench, bool) {
--- a/pkg/command/command_test.go
+++ b/pkg/command/command_test.go
@@ -18,6 +18,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/apricotgrade/apricotgrade/pkg/apierror"
+	"github.com/apricotgrade/apricotgrade/pkg/bench"
 	"github.com/apricotgrade/apricotgrade/pkg/command"
 	"github.com/apricotgrade/apricotgrade/pkg/operator"
 )
@@ -178,3 +179,18 @@
 		}
 	}
 }
+
+// TestBench guards against a measurement that the command line does not offer.
+func TestBench(t *testing.T) {
+	g := gomega.NewWithT(t)
+	code, out, _ := run(t, "", "bench")
+	g.Expect(code).To(gomega.Equal(command.ExitOK))
+	for _, b := range bench.All() {
+		g.Expect(out).To(gomega.ContainSubstring(b.Name))
+	}
+	code, _, text := run(t, "", "bench", "none")
+	g.Expect(code).To(gomega.Equal(command.ExitFailure))
+	g.Expect(text).To(gomega.ContainSubstring("name one of: slopes"))
+	code, _, _ = run(t, "", "bench", "slopes", "--json")
+	g.Expect(code).To(gomega.Equal(command.ExitFailure))
+}
