--- a/pkg/command/declare.go
+++ b/pkg/command/declare.go
@@ -81,7 +81,11 @@
 		fprintf(out, "no changes to version %d\n", base)
 		return
 	}
-	fprintf(out, "%d changes to version %d:\n%s\n", len(changes), base, changes)
+	noun := "changes"
+	if len(changes) == 1 {
+		noun = "change"
+	}
+	fprintf(out, "%d %s to version %d:\n%s\n", len(changes), noun, base, changes)
 }
 
 func newApply() *Command {
