Close gaps at idle replicas, silent stores and restored targets

A node that had not used a replica of a service for a while sent it a request before it could know that the replica was leaving, and a replica that had reported leaving was never asked again. A replica without an answer of the last 3 s is now asked before it is used; one without load reports counts as checked by the failed request. This costs one round trip on the first use.

A table service that answers nothing held each order for the time-out of its call; after three requests in a row without an answer new claims are refused at once, except for one a second. Repeats of failed writes back off to 8 s.

A suspect target that the membership system clears now counts as more capacity at once; before, its queue waited for the check of each second.

A request whose caller is gone while it waits for its next attempt ends at once. At most 50,000 ended requests are kept: a flood of refusals would otherwise hold memory for five minutes.

--- a/pkg/core/admission/admission.go
+++ b/pkg/core/admission/admission.go
@@ -21,7 +21,7 @@
 type Picker interface {
 	// Pick returns a target and counts the attempt there, or false when none
 	// can take the request now.
-	Pick(now time.Duration, req *state.Request) (state.TargetID, bool)
+	Pick(now time.Duration, req *state.Request, out *state.Outbox) (state.TargetID, bool)
 	// CapacityGrew reports whether a target may take more than at the last call.
 	CapacityGrew() bool
 	// Serves reports whether the configuration has a target for the request.
--- a/pkg/core/admission/dispatch.go
+++ b/pkg/core/admission/dispatch.go
@@ -47,7 +47,7 @@
 			continue
 		}
 		req := s.t.Requests.Get(it.id)
-		target, ok := s.picker.Pick(now, req)
+		target, ok := s.picker.Pick(now, req, out)
 		it.class.meter.limit(now, !ok)
 		if !ok {
 			it.class.blocked = q.epoch
--- a/pkg/core/claims/claims.go
+++ b/pkg/core/claims/claims.go
@@ -20,6 +20,13 @@
 	// insertAgain and persistAgain are the pauses before a write is repeated.
 	insertAgain  = 100 * time.Millisecond
 	persistAgain = 500 * time.Millisecond
+	// persistMax bounds the pause, which doubles while the write fails.
+	persistMax = 8 * time.Second
+	// downAfter is the number of store requests in a row without an answer after
+	// which the table service counts as down; probePeriod is the period at which
+	// one claim is still tried.
+	downAfter   = 3
+	probePeriod = time.Second
 	// pollPeriod is the period of questions to a holder or to a lookup.
 	pollPeriod = 250 * time.Millisecond
 	// lookupFor bounds the wait for a lookup to find an execution. After it the
@@ -76,6 +83,8 @@
 	// unknownAt is when the outcome became unknown; negative while it is not.
 	unknownAt time.Duration
 	polls     int
+	// failures counts failed writes of the final phase.
+	failures  int
 	objectPut bool
 	settledAt time.Duration
 }
@@ -91,6 +100,9 @@
 	changed   *state.DirtySet[state.RequestID]
 	// open maps each request with a claim that has not ended to its key.
 	open map[state.RequestID]string
+	// unanswered counts store requests in a row without an answer.
+	unanswered int
+	nextProbe  time.Duration
 }
 
 // New returns the claims system.
@@ -115,6 +127,10 @@
 	case state.StoreReply:
 		if e := s.stores[in.ID]; e != nil {
 			delete(s.stores, in.ID)
+			s.unanswered++
+			if in.Result == state.StoreOK || in.Result == state.StoreConflict {
+				s.unanswered = 0
+			}
 			e.store = 0
 			s.replied(now, e, in, out)
 		}
@@ -187,6 +203,10 @@
 	s.open[req.Arrival.ID] = key
 	s.deadlines.Schedule(req.Arrival.ID, req.Deadline)
 	e := s.entries[key]
+	if e == nil && s.isStoreDown(now) {
+		s.refuse(now, req.Arrival.ID, storeDown(), out)
+		return
+	}
 	if e == nil {
 		e = &entry{
 			key: key, account: req.Arrival.Account, idem: req.Arrival.Key, service: req.Arrival.Service,
@@ -201,6 +221,19 @@
 	s.serveWaiters(now, e, out)
 }
 
+// isStoreDown reports whether a claim need not be tried. A service that answers
+// nothing would otherwise hold each request for the time-out of the call.
+func (s *System) isStoreDown(now time.Duration) bool {
+	if s.unanswered < downAfter {
+		return false
+	}
+	if now >= s.nextProbe {
+		s.nextProbe = now + probePeriod
+		return false
+	}
+	return true
+}
+
 // serveWaiters gives the waiting requests what the entry's state allows.
 func (s *System) serveWaiters(now time.Duration, e *entry, out *state.Outbox) {
 	row := &e.claim.Row
--- a/pkg/core/claims/settle.go
+++ b/pkg/core/claims/settle.go
@@ -71,9 +71,12 @@
 		if row.Phase == state.ClaimNotRun {
 			s.refuseWaiters(now, e, storeDown(), out)
 		}
-		s.due.Schedule(e.key, now+persistAgain)
+		pause := min(persistAgain<<min(e.failures, 8), persistMax)
+		e.failures++
+		s.due.Schedule(e.key, now+pause/2+time.Duration(s.t.Rand.Int64N(int64(pause))))
 		return
 	}
+	e.failures = 0
 	if e.op == opPutObject {
 		e.objectPut = true
 		s.persist(e, out)
--- a/pkg/core/claims_test.go
+++ b/pkg/core/claims_test.go
@@ -116,6 +116,27 @@
 		Expect(executions()).To(Equal(0))
 	})
 
+	// Guards against orders that wait one after another for a table service that
+	// answers nothing, and against one that stays refused after it is back.
+	It("refuses at once while the table service is silent", func() {
+		w.storeSilence = 2 * time.Second
+		for _, key := range []string{"a", "b", "c"} {
+			w.send(w.nodes[0], order(key, "x"))
+		}
+		w.run(2100 * time.Millisecond)
+		w.send(w.nodes[0], order("probe", "x"))
+		id := w.send(w.nodes[0], order("k", "x"))
+		Expect(w.replies[id].Refusal.Kind).To(Equal(apierror.KindStoreDown))
+		Expect(outcome(id)).To(Equal(apierror.NotRun))
+		w.storeSilence = 0
+		w.run(time.Minute)
+		again := w.send(w.nodes[0], order("k", "x"))
+		w.run(time.Second)
+		Expect(outcome(again)).To(Equal(apierror.Done))
+		Expect(executions()).To(Equal(1))
+		Expect(storedPhase(w, "a")).To(Equal(state.ClaimDone), "its insert was repeated in time")
+	})
+
 	// Guards against a repeat that executes again after its holder died.
 	It("never sends again after the holder died", func() {
 		w.targets["orders/a"].serve = time.Hour
--- a/pkg/core/retry/retry.go
+++ b/pkg/core/retry/retry.go
@@ -3,6 +3,7 @@
 package retry
 
 import (
+	"math"
 	"time"
 
 	"github.com/apricotgrade/apricotgrade/pkg/apierror"
@@ -12,6 +13,9 @@
 const (
 	// keepFor is how long an ended request can be asked for.
 	keepFor = 5 * time.Minute
+	// maxKept bounds the ended requests in memory, about 1 KB each, when more
+	// than that end within keepFor.
+	maxKept = 50_000
 	// keepRunning is the pause between checks of an ended request whose attempt
 	// has not ended.
 	keepRunning = time.Minute
@@ -104,16 +108,25 @@
 		}
 	}
 	for id, ok := s.deletions.Pop(now); ok; id, ok = s.deletions.Pop(now) {
-		// The in-flight counts need the row until the attempt has ended.
-		if req := s.t.Requests.Get(id); req != nil && req.Running() {
-			s.deletions.Schedule(id, now+keepRunning)
-			continue
-		}
-		s.t.Requests.Delete(id)
+		s.delete(now, id)
+	}
+	for s.deletions.Len() > maxKept {
+		id, _ := s.deletions.Pop(math.MaxInt64)
+		s.delete(now, id)
 	}
 	s.questions.expire(now, out)
 }
 
+// delete removes the row of an ended request. The in-flight counts need the row
+// until its attempt has ended.
+func (s *System) delete(now time.Duration, id state.RequestID) {
+	if req := s.t.Requests.Get(id); req != nil && req.Running() {
+		s.deletions.Schedule(id, now+keepFor+keepRunning)
+		return
+	}
+	s.t.Requests.Delete(id)
+}
+
 // expired ends a request whose attempt is under way at its deadline. The
 // admission system does it for requests in its queue.
 func (s *System) expired(now time.Duration, id state.RequestID, out *state.Outbox) {
@@ -136,7 +149,7 @@
 	case req.Attempt == 0 && s.t.IsGuarded(req) && req.Gate == state.GateWaiting:
 		// The key may belong to an earlier request that ran.
 		s.t.EndWithRefusal(now, req, callerGone(apierror.Unknown), out)
-	case req.Attempt == 0:
+	case !req.Running() && !s.t.IsGuarded(req) || req.Attempt == 0:
 		s.t.EndWithRefusal(now, req, callerGone(apierror.NotRun), out)
 	case req.Arrival.Once:
 	default:
--- a/pkg/core/routing/filter.go
+++ b/pkg/core/routing/filter.go
@@ -70,6 +70,10 @@
 			row.Suspect = false
 		}
 	}
+	if !s.isChecked(now, tr) {
+		s.watch(now, tr)
+		return false
+	}
 	// A resume is itself the test of a suspect target: it uses a new connection.
 	_, bound := boundTo(req)
 	return !row.Suspect || bound
--- a/pkg/core/routing/load.go
+++ b/pkg/core/routing/load.go
@@ -14,8 +14,8 @@
 	useFor = 10 * time.Second
 )
 
-// fetch asks the targets that this node uses for their load. A suspect target
-// is asked too, because a plain service is cleared by its report.
+// fetch asks the targets that this node uses for their load. Suspect and leaving
+// targets are asked too, because a report shows that they are back.
 func (s *System) fetch(now time.Duration, out *state.Outbox) {
 	for id, ok := s.fetches.Pop(now); ok; id, ok = s.fetches.Pop(now) {
 		tr := s.tracks[id]
@@ -23,7 +23,8 @@
 			continue
 		}
 		row := tr.row
-		if row.Address == "" || (now-tr.lastUsed > useFor && !row.Suspect && row.InFlight == 0) {
+		used := now-tr.lastUsed <= useFor || row.InFlight > 0
+		if row.Address == "" || (!used && !row.Suspect && !row.Report.Leaving) {
 			tr.fetching = false
 			continue
 		}
@@ -56,7 +57,12 @@
 // dropped, so that the limit follows the latest state of the target.
 func (s *System) reported(now time.Duration, in state.LoadReport, out *state.Outbox) {
 	tr := s.tracks[in.Target]
-	if tr == nil || !in.OK {
+	if tr == nil {
+		return
+	}
+	s.grew = s.grew || !s.isChecked(now, tr)
+	tr.asked, tr.askedAt = true, max(tr.askedAt, in.SentAt)
+	if !in.OK {
 		return
 	}
 	row := tr.row
@@ -115,6 +121,13 @@
 	}
 }
 
+// isChecked reports whether a replica of a plain service was asked a short time
+// ago. Groups are probed, but nothing else tells that an unused replica is
+// leaving. One that has no load report is checked by the failed request.
+func (s *System) isChecked(now time.Duration, tr *track) bool {
+	return tr.row.Service == "" || (tr.asked && now-tr.askedAt < reportFor)
+}
+
 // load estimates the requests at a target: its last report, what this node has
 // sent since, and what the peers have reported or are expected to have sent.
 func (s *System) load(now time.Duration, tr *track) float64 {
--- a/pkg/core/routing/pick.go
+++ b/pkg/core/routing/pick.go
@@ -11,8 +11,9 @@
 const nearBest = 0.25
 
 // Pick returns the target for a request and counts the attempt there, or false
-// when none can take it now.
-func (s *System) Pick(now time.Duration, req *state.Request) (state.TargetID, bool) {
+// when none can take it now. It asks targets for their load that it uses or that
+// it has to know more about first.
+func (s *System) Pick(now time.Duration, req *state.Request, out *state.Outbox) (state.TargetID, bool) {
 	if !s.t.Config.Fresh && !s.t.Switches.IgnoreFreshness {
 		return "", false
 	}
@@ -30,10 +31,12 @@
 		}
 	}
 	if len(s.scratch) == 0 {
+		s.fetch(now, out)
 		return "", false
 	}
 	tr := s.choose(s.scratch)
 	s.use(now, tr)
+	s.fetch(now, out)
 	return tr.row.ID, true
 }
 
--- a/pkg/core/routing/routing.go
+++ b/pkg/core/routing/routing.go
@@ -21,6 +21,7 @@
 	groups   *state.DirtySet[state.GroupID]
 	hosts    *state.DirtySet[state.HostID]
 	peers    *state.DirtySet[state.NodeID]
+	targets  *state.DirtySet[state.TargetID]
 	tracks   map[state.TargetID]*track
 	models   map[string][]*track
 	services map[string][]*track
@@ -63,8 +64,12 @@
 	firstTokens    int
 	usualFirst     time.Duration
 	hostLeaving    bool
-	whole          bool
-	wholeAt        time.Duration
+	suspect        bool
+	// asked is set once a load request was answered or failed; askedAt dates it.
+	asked   bool
+	askedAt time.Duration
+	whole   bool
+	wholeAt time.Duration
 }
 
 type seenHost struct {
@@ -77,7 +82,8 @@
 func New(t *state.Tables) *System {
 	return &System{
 		t: t, groups: t.Groups.Subscribe(), hosts: t.Hosts.Subscribe(), peers: t.Peers.Subscribe(),
-		tracks: map[state.TargetID]*track{}, loads: map[state.NodeID][]state.TargetCount{},
+		targets: t.Targets.Subscribe(),
+		tracks:  map[state.TargetID]*track{}, loads: map[state.NodeID][]state.TargetCount{},
 		seen:    map[state.HostID]seenHost{},
 		fetches: state.NewDueQueue[state.TargetID](), expiry: state.NewDueQueue[state.TargetID](),
 		hints: newHints(),
@@ -97,6 +103,13 @@
 	for _, id := range s.groups.Take() {
 		s.groupChanged(now, id)
 	}
+	for _, id := range s.targets.Take() {
+		// The membership system clears suspects too.
+		if tr := s.tracks[id]; tr != nil {
+			s.grew = s.grew || (tr.suspect && !tr.row.Suspect)
+			tr.suspect = tr.row.Suspect
+		}
+	}
 	for _, id := range s.peers.Take() {
 		s.peerChanged(id)
 	}
@@ -222,7 +235,7 @@
 		return
 	}
 	stale := now-tr.wholeAt > membership.VerdictFor
-	if group.Whole && (!tr.whole || stale || tr.row.Suspect) {
+	if group.Whole && (!tr.whole || stale || tr.suspect) {
 		s.grew = true
 	}
 	tr.whole, tr.wholeAt = group.Whole, group.WholeAt
--- a/pkg/core/routing_test.go
+++ b/pkg/core/routing_test.go
@@ -145,6 +145,8 @@
 			w.run(100 * time.Millisecond)
 			w.targets["g1"].fail, w.targets["g1"].serve = nil, time.Hour
 			sendAll(40)
+			// The target is suspect until the next evidence that it is whole.
+			w.run(100 * time.Millisecond)
 			return w.targets["g1"].peak
 		}
 		Expect(after(state.Switches{})).To(BeNumerically("<=", 4))
@@ -207,6 +209,27 @@
 		}),
 	)
 
+	// Guards against the first request of a node to a replica that has been
+	// leaving while the node did not use it, and against one that never comes
+	// back into use.
+	It("asks an unused replica of a service before it uses it", func() {
+		begin(1, state.Switches{}, orderDoc(""))
+		lookup := order("", "")
+		lookup.Once = false
+		w.targets["orders/a"].leaving = true
+		id := w.send(w.nodes[0], lookup)
+		w.run(5 * time.Second)
+		Expect(w.nodes[0].starts).To(BeEmpty())
+		w.targets["orders/a"].leaving, w.targets["orders/a"].incarnation = false, 2
+		w.run(2 * time.Second)
+		Expect(w.replies[id].Refusal).To(BeNil())
+		w.run(time.Minute)
+		w.targets["orders/a"].noReport = true
+		id = w.send(w.nodes[0], lookup)
+		w.run(time.Second)
+		Expect(w.replies[id].Refusal).To(BeNil(), "a service without load reports is used")
+	})
+
 	// Guards against a resumed generation at a target that does not have it.
 	It("sends a resumed request to its target or to none", func() {
 		begin(1, state.Switches{}, draftDoc(4, 100, 100))
--- a/pkg/core/world_test.go
+++ b/pkg/core/world_test.go
@@ -35,16 +35,19 @@
 	store   *memory.Store
 	// storeDown answers all store requests with "no effect"; loseReplies loses
 	// that many answers of transactions that took effect.
-	storeDown   bool
-	loseReplies int
-	replies     map[state.RequestID]state.Reply
-	repliedAt   map[state.RequestID]time.Duration
-	lookups     int
-	doc         state.Document
-	nextID      int
-	reportLag   time.Duration
-	staleLoads  map[state.TargetID]int
-	partitioned bool
+	storeDown bool
+	// storeSilence delays the report that an answer is lost; the request is lost
+	// too.
+	storeSilence time.Duration
+	loseReplies  int
+	replies      map[state.RequestID]state.Reply
+	repliedAt    map[state.RequestID]time.Duration
+	lookups      int
+	doc          state.Document
+	nextID       int
+	reportLag    time.Duration
+	staleLoads   map[state.TargetID]int
+	partitioned  bool
 	// keys are those of the requests; executed counts the runs of each key, and
 	// ran holds the requests that a target ran.
 	keys     map[state.RequestID]string
@@ -76,6 +79,7 @@
 	fail       func(state.StartAttempt) *state.AttemptEvent
 	executions map[string]int
 	leaving    bool
+	noReport   bool
 }
 
 func newWorld(nodes int, switches state.Switches, doc state.Document) *world {
@@ -230,6 +234,9 @@
 	ctx := context.Background()
 	reply := state.StoreReply{ID: req.ID}
 	switch {
+	case w.storeSilence > 0:
+		w.after(w.storeSilence, func() { n.feed(state.StoreReply{ID: req.ID, Result: state.StoreUnknown}) })
+		return
 	case w.storeDown:
 		reply.Result = state.StoreUnavailable
 	case req.Transact != nil:
@@ -296,7 +303,7 @@
 	if running, ok := w.staleLoads[out.Target]; ok {
 		answer.Running = running
 	}
-	n.feed(state.LoadReport{Target: out.Target, SentAt: out.SentAt, OK: true, Answer: answer})
+	n.feed(state.LoadReport{Target: out.Target, SentAt: out.SentAt, OK: !target.noReport, Answer: answer})
 }
 
 func (w *world) lookup(n *fakeNode, out state.FetchLookup) {
