Keep the place of a generation that may resume

When the connection of a generation broke, its place at the target counted as free at once: a queued request took it while the generation still ran, so the target had more than its limit, and the resume waited behind it. The place is now held until the retry system resumes the generation, restarts the request or ends it, and a resume needs no new room under the account's limit.

Retry-After values of claims and lost targets are spread like those of the queue. The account in the key of a claim is escaped: account "a" with key "b/c" shared its claim with account "a/b" and key "c".

--- a/pkg/core/admission/dispatch.go
+++ b/pkg/core/admission/dispatch.go
@@ -9,9 +9,6 @@
 	"github.com/apricotgrade/apricotgrade/pkg/event"
 )
 
-// minSpread is the least time over which repeats of refused requests spread.
-const minSpread = 2 * time.Second
-
 // dispatch sends what the targets can take, in the order of the fair queue. It
 // ends when each account is empty, at its limit or blocked.
 func (s *System) dispatch(now time.Duration, out *state.Outbox) {
@@ -64,7 +61,8 @@
 // eligible returns the request that an account may send next.
 func (s *System) eligible(now time.Duration, a *account) *item {
 	it := s.queue.next(a)
-	if it == nil || s.hasRoom(it.owner) {
+	// A generation that is resumed still runs and counts at its target.
+	if it == nil || it.resume || s.hasRoom(it.owner) {
 		return it
 	}
 	a.meter.limit(now, true)
@@ -102,15 +100,9 @@
 	s.t.EndWithRefusal(now, req, refusal, out)
 }
 
-// spread returns a time to come back after, drawn over the expected wait, so
-// that refused callers do not come back at once.
-func (s *System) spread(wait time.Duration) time.Duration {
-	return time.Second + time.Duration(s.t.Rand.Int64N(int64(max(wait, minSpread))))
-}
-
 // waitedTooLong names the reason why a request waited in vain.
 func (s *System) waitedTooLong(now time.Duration, req *state.Request) *apierror.Error {
-	after := s.spread(s.queue.expected(now, req))
+	after := s.t.Spread(s.queue.expected(now, req))
 	switch {
 	case !s.t.Config.Fresh:
 		return apierror.New(apierror.KindStale, "configuration_stale",
@@ -126,7 +118,7 @@
 func (s *System) tooLate(wait time.Duration) *apierror.Error {
 	return apierror.New(apierror.KindOverloaded, "deadline_unreachable",
 		"the queue is too long for the deadline; send the request again later or with a later deadline",
-		apierror.NotRun).After(s.spread(wait))
+		apierror.NotRun).After(s.t.Spread(wait))
 }
 
 // notServed tells an unknown model or service from one that has no target now.
@@ -141,7 +133,7 @@
 	}
 	return apierror.New(apierror.KindUnavailable, "no_target",
 		"no target serves this under the configuration in force; send the request again later",
-		apierror.NotRun).After(s.spread(0))
+		apierror.NotRun).After(s.t.Spread(0))
 }
 
 func (s *System) declared(a *state.RequestArrived) bool {
--- a/pkg/core/admission/queue.go
+++ b/pkg/core/admission/queue.go
@@ -49,7 +49,9 @@
 	class *class
 	queue *account
 	at    time.Duration
-	gone  bool
+	// resume is set for a generation that continues.
+	resume bool
+	gone   bool
 }
 
 type account struct {
@@ -138,7 +140,7 @@
 	q.seq++
 	it := &item{
 		id: req.Arrival.ID, owner: req.Arrival.Account, seq: q.seq, cost: max(req.Arrival.Cost, 1),
-		lane: min(lane, lanes-1), class: c, queue: a, at: now,
+		lane: min(lane, lanes-1), class: c, queue: a, at: now, resume: req.Next == state.NextResume,
 	}
 	q.items[it.id] = it
 	q.meanCost += (float64(it.cost) - q.meanCost) / costWeight
--- a/pkg/core/claims/claims.go
+++ b/pkg/core/claims/claims.go
@@ -204,7 +204,7 @@
 	s.deadlines.Schedule(req.Arrival.ID, req.Deadline)
 	e := s.entries[key]
 	if e == nil && s.isStoreDown(now) {
-		s.refuse(now, req.Arrival.ID, storeDown(), out)
+		s.refuse(now, req.Arrival.ID, s.storeDown(), out)
 		return
 	}
 	if e == nil {
--- a/pkg/core/claims/insert.go
+++ b/pkg/core/claims/insert.go
@@ -17,6 +17,7 @@
 		Phase: state.ClaimHeld, BodyHash: req.Arrival.BodyHash, Holder: s.t.Self.ID,
 		Incarnation: s.t.Self.Incarnation, Request: id, Op: s.t.NewOp(), Service: req.Arrival.Service,
 	}
+	s.t.Claims.Touch(e.key)
 	s.insert(e, out)
 }
 
@@ -82,11 +83,11 @@
 			s.adopt(now, e, row, revision, out)
 		}
 	case state.StoreUnavailable:
-		s.giveUp(now, e, storeDown(), out)
+		s.giveUp(now, e, s.storeDown(), out)
 	case state.StoreUnknown:
 		e.lost = true
 		if now >= e.giveUpAt {
-			s.giveUp(now, e, storeDown(), out)
+			s.giveUp(now, e, s.storeDown(), out)
 			return
 		}
 		s.due.Schedule(e.key, now+insertAgain)
--- a/pkg/core/claims/settle.go
+++ b/pkg/core/claims/settle.go
@@ -31,7 +31,7 @@
 		e.waiters = append([]state.RequestID{ev.Request}, e.waiters...)
 		s.settle(now, e, state.ClaimDone, ev.Answer, out)
 	case apierror.NotRun:
-		s.refuse(now, ev.Request, notReached(ev), out)
+		s.refuse(now, ev.Request, s.notReached(ev), out)
 		s.settle(now, e, state.ClaimNotRun, nil, out)
 	default:
 		out.Log(event.ClaimUnsettled, slog.String("account", string(e.account)), slog.String("request", string(ev.Request)))
@@ -69,7 +69,7 @@
 	row := &e.claim.Row
 	if reply.Result == state.StoreUnavailable || reply.Result == state.StoreUnknown {
 		if row.Phase == state.ClaimNotRun {
-			s.refuseWaiters(now, e, storeDown(), out)
+			s.refuseWaiters(now, e, s.storeDown(), out)
 		}
 		pause := min(persistAgain<<min(e.failures, 8), persistMax)
 		e.failures++
@@ -132,10 +132,10 @@
 		"the key was used with another body; this body was not sent; use a new key for a new request", apierror.NotRun)
 }
 
-func storeDown() *apierror.Error {
+func (s *System) storeDown() *apierror.Error {
 	return apierror.New(apierror.KindStoreDown, "claim_store_unavailable",
 		"the claim could not be written and this submission was not sent; send it again with the same key",
-		apierror.NotRun).After(time.Second)
+		apierror.NotRun).After(s.t.Spread(0))
 }
 
 func deadlinePassed() *apierror.Error {
@@ -143,13 +143,13 @@
 		"the deadline passed before the request was sent; send it again with the same key", apierror.NotRun)
 }
 
-func notReached(ev state.AttemptEvent) *apierror.Error {
+func (s *System) notReached(ev state.AttemptEvent) *apierror.Error {
 	if ev.Failure == state.FailureRefused {
 		return apierror.New(apierror.KindTargetRefused, "target_refused",
-			"the target did not run the request; send it again with the same key", apierror.NotRun).After(time.Second)
+			"the target did not run the request; send it again with the same key", apierror.NotRun).After(s.t.Spread(0))
 	}
 	return apierror.New(apierror.KindTargetLost, "target_not_reached",
-		"no connection to the target was made; send the request again with the same key", apierror.NotRun).After(time.Second)
+		"no connection to the target was made; send the request again with the same key", apierror.NotRun).After(s.t.Spread(0))
 }
 
 func outcomeUnknown() *apierror.Error {
--- a/pkg/core/claims_test.go
+++ b/pkg/core/claims_test.go
@@ -218,6 +218,7 @@
 		w.run(time.Second)
 		Expect(outcome(other)).To(Equal(apierror.Done))
 		Expect(storedPhase(w, "k2")).To(Equal(state.ClaimDone))
+		Expect(state.KeyClaim("a/b", "c")).NotTo(Equal(state.KeyClaim("a", "b/c")))
 	})
 
 	// Guards against a key that stays blocked although no byte left.
--- a/pkg/core/retry/attempt.go
+++ b/pkg/core/retry/attempt.go
@@ -76,7 +76,7 @@
 	case s.canRestart(now, req, ev):
 		s.restart(now, req)
 	default:
-		s.t.EndWithRefusal(now, req, targetLost(req, ev), out)
+		s.t.EndWithRefusal(now, req, s.targetLost(req, ev), out)
 	}
 }
 
@@ -103,7 +103,7 @@
 		s.restart(now, req)
 		return
 	}
-	s.t.EndWithRefusal(now, req, targetLost(req, lost), out)
+	s.t.EndWithRefusal(now, req, s.targetLost(req, lost), out)
 }
 
 // canResume reports whether the generation still runs at its target as far as
@@ -147,20 +147,20 @@
 	budgetOf(s.targets, req.Target).spend(now)
 }
 
-func targetLost(req *state.Request, ev state.AttemptEvent) *apierror.Error {
+func (s *System) targetLost(req *state.Request, ev state.AttemptEvent) *apierror.Error {
 	switch {
 	case req.PassedOn:
 		return apierror.New(apierror.KindTargetLost, "generation_lost",
 			"the target was lost in the middle of the answer; discard the part and send the request again", ev.Outcome)
 	case ev.Failure == state.FailureRefused:
 		return apierror.New(apierror.KindTargetRefused, "target_refused",
-			"the target refused the request; send it again later", ev.Outcome).After(time.Second)
+			"the target refused the request; send it again later", ev.Outcome).After(s.t.Spread(0))
 	case ev.Failure == state.FailureTarget:
 		return apierror.New(apierror.KindTargetRefused, "target_error",
 			"the target answered with an error; check the request or send it again", ev.Outcome)
 	default:
 		return apierror.New(apierror.KindTargetLost, "target_lost",
-			"the target failed and no retry is allowed now; send the request again later", ev.Outcome).After(time.Second)
+			"the target failed and no retry is allowed now; send the request again later", ev.Outcome).After(s.t.Spread(0))
 	}
 }
 
--- a/pkg/core/retry_test.go
+++ b/pkg/core/retry_test.go
@@ -114,6 +114,36 @@
 		Expect(w.replies[id].Refusal.Code).To(Equal("generation_lost"))
 	})
 
+	// Guards against new work in the place of a generation that still runs, which
+	// overfills its target and keeps the caller from resuming.
+	It("keeps the place of a generation until it is resumed", func() {
+		doc := draftDoc(1, 1, 1)
+		doc.Accounts[0].Concurrency = 1
+		w = newWorld(1, state.Switches{}, doc)
+		n = w.nodes[0]
+		w.run(2 * time.Second)
+		failAll(func(s state.StartAttempt) *state.AttemptEvent {
+			if s.Attempt == 1 && s.Request == "r0001" {
+				return &state.AttemptEvent{
+					Failure: state.FailureBroken, Outcome: apierror.Unknown, Generation: "gen", Offset: 3, PassedOn: true,
+				}
+			}
+			return nil
+		})
+		w.send(n, draft())
+		other := w.send(n, draft())
+		pilbara := draft()
+		pilbara.Account = "pilbara"
+		w.send(n, pilbara)
+		w.run(20 * time.Millisecond)
+		Expect(n.starts).To(HaveLen(2))
+		Expect(n.starts[1].Resume).NotTo(BeNil())
+		w.run(time.Second)
+		Expect(w.replies[other].Refusal).To(BeNil())
+		Expect(w.targets["g1"].peak).To(Equal(1))
+		Expect(n.t.Targets.Get("g1").InFlight).To(BeZero())
+	})
+
 	// Guards against a caller that waits for a generation whose target is gone.
 	It("restarts elsewhere when the target is gone and nothing was passed on", func() {
 		var lost state.TargetID
--- a/pkg/core/routing/filter.go
+++ b/pkg/core/routing/filter.go
@@ -58,7 +58,10 @@
 // fits reports whether a target can take the request now.
 func (s *System) fits(now time.Duration, tr *track, req *state.Request) bool {
 	row := tr.row
-	if row.Idle || row.Leaving || row.Address == "" || !s.hasRoom(tr) || !s.matches(row, req) {
+	if row.Idle || row.Leaving || row.Address == "" || !s.matches(row, req) {
+		return false
+	}
+	if s.held[req.Arrival.ID] != tr && !s.hasRoom(tr) {
 		return false
 	}
 	if row.Group != "" && !s.t.Switches.IgnoreWholeness {
--- a/pkg/core/routing/load.go
+++ b/pkg/core/routing/load.go
@@ -37,8 +37,13 @@
 }
 
 // use notes that an attempt goes to a target.
-func (s *System) use(now time.Duration, tr *track) {
-	tr.row.InFlight++
+func (s *System) use(now time.Duration, tr *track, id state.RequestID) {
+	if s.held[id] == tr {
+		// The attempt takes the place that was kept for it.
+		delete(s.held, id)
+	} else {
+		tr.row.InFlight++
+	}
 	tr.row.SentSinceReport++
 	tr.sentSinceFetch++
 	s.t.Targets.Touch(tr.row.ID)
@@ -102,9 +107,12 @@
 		s.firstToken(now, tr, now-req.SentAt, out)
 		return
 	}
-	tr.row.InFlight--
-	s.grew = true
-	s.t.Targets.Touch(req.Target)
+	if mayResume(req, ev) {
+		// The generation runs on at the target, so that its place is not free.
+		s.held[ev.Request] = tr
+	} else {
+		s.release(tr)
+	}
 	switch ev.Failure {
 	case state.FailureConnect, state.FailureBroken:
 		tr.row.Suspect, tr.row.SuspectAt = true, now
@@ -116,8 +124,37 @@
 		}
 	default:
 	}
+}
+
+// mayResume reports whether the retry system may resume the generation of an
+// attempt that ended.
+func mayResume(req *state.Request, ev state.AttemptEvent) bool {
+	lost := ev.Failure == state.FailureBroken || ev.Failure == state.FailureSilent
+	return lost && req.Arrival.Kind == state.KindModel && req.Phase != state.RequestEnded &&
+		(ev.Generation != "" || req.Generation != "")
+}
+
+// releaseHeld frees the place of a request that does not resume after all.
+func (s *System) releaseHeld(id state.RequestID) {
+	tr := s.held[id]
+	if tr == nil {
+		return
+	}
+	req := s.t.Requests.Get(id)
+	if req != nil && req.Phase != state.RequestEnded && req.Next == state.NextResume {
+		return
+	}
+	delete(s.held, id)
+	s.release(tr)
+}
+
+// release frees one place at a target.
+func (s *System) release(tr *track) {
+	tr.row.InFlight--
+	s.grew = true
+	s.t.Targets.Touch(tr.row.ID)
 	if !tr.declared && tr.row.InFlight == 0 {
-		s.drop(req.Target)
+		s.drop(tr.row.ID)
 	}
 }
 
--- a/pkg/core/routing/pick.go
+++ b/pkg/core/routing/pick.go
@@ -35,7 +35,7 @@
 		return "", false
 	}
 	tr := s.choose(s.scratch)
-	s.use(now, tr)
+	s.use(now, tr, req.Arrival.ID)
 	s.fetch(now, out)
 	return tr.row.ID, true
 }
--- a/pkg/core/routing/routing.go
+++ b/pkg/core/routing/routing.go
@@ -22,6 +22,9 @@
 	hosts    *state.DirtySet[state.HostID]
 	peers    *state.DirtySet[state.NodeID]
 	targets  *state.DirtySet[state.TargetID]
+	requests *state.DirtySet[state.RequestID]
+	// held maps requests that may resume to the target that keeps their place.
+	held     map[state.RequestID]*track
 	tracks   map[state.TargetID]*track
 	models   map[string][]*track
 	services map[string][]*track
@@ -82,8 +85,8 @@
 func New(t *state.Tables) *System {
 	return &System{
 		t: t, groups: t.Groups.Subscribe(), hosts: t.Hosts.Subscribe(), peers: t.Peers.Subscribe(),
-		targets: t.Targets.Subscribe(),
-		tracks:  map[state.TargetID]*track{}, loads: map[state.NodeID][]state.TargetCount{},
+		targets: t.Targets.Subscribe(), requests: t.Requests.Subscribe(), held: map[state.RequestID]*track{},
+		tracks: map[state.TargetID]*track{}, loads: map[state.NodeID][]state.TargetCount{},
 		seen:    map[state.HostID]seenHost{},
 		fetches: state.NewDueQueue[state.TargetID](), expiry: state.NewDueQueue[state.TargetID](),
 		hints: newHints(),
@@ -103,6 +106,9 @@
 	for _, id := range s.groups.Take() {
 		s.groupChanged(now, id)
 	}
+	for _, id := range s.requests.Take() {
+		s.releaseHeld(id)
+	}
 	for _, id := range s.targets.Take() {
 		// The membership system clears suspects too.
 		if tr := s.tracks[id]; tr != nil {
@@ -159,6 +165,9 @@
 	}
 	for _, id := range slices.Clone(s.t.Targets.Keys()) {
 		tr := s.tracks[id]
+		if tr == nil {
+			continue
+		}
 		tr.row.Idle = tr.row.Idle || !tr.declared ||
 			slices.Contains(head.OutDataCentres, tr.row.DataCentre) || slices.Contains(head.OutTargets, id)
 		if !tr.declared && tr.row.InFlight == 0 {
--- a/pkg/core/state/request.go
+++ b/pkg/core/state/request.go
@@ -91,6 +91,15 @@
 	t.Requests.Touch(req.Arrival.ID)
 }
 
+// minSpread is the least time over which repeats of refused requests spread.
+const minSpread = 2 * time.Second
+
+// Spread returns a time to come back after, drawn over the expected wait, so
+// that refused callers do not come back all at once.
+func (t *Tables) Spread(wait time.Duration) time.Duration {
+	return time.Second + time.Duration(t.Rand.Int64N(int64(max(wait, minSpread))))
+}
+
 // Preset returns the specification of the preset in force.
 func (c *Configuration) Preset() PresetSpec {
 	i := slices.IndexFunc(c.Document.Presets, func(p PresetSpec) bool { return p.Name == c.Head.Preset })
--- a/pkg/core/state/store.go
+++ b/pkg/core/state/store.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"net/url"
 	"strconv"
 
 	"github.com/fxamacker/cbor/v2"
@@ -36,9 +37,10 @@
 // KeyLease returns the key of the placement lease of a data centre.
 func KeyLease(dc DataCentre) string { return PrefixLease + string(dc) }
 
-// KeyClaim returns the key of a claim.
+// KeyClaim returns the key of a claim. The account is escaped, so that no
+// account name can reach into the keys of another one.
 func KeyClaim(account AccountID, key string) string {
-	return PrefixClaim + string(account) + "/" + key
+	return PrefixClaim + url.PathEscape(string(account)) + "/" + key
 }
 
 func padVersion(v Version) string {
