Let go of large answers once they are stored

An answer over 64 KiB stayed in the memory of its holder for the five minutes that a settled claim is kept. It is now dropped when the object store has it; a repeat reads it back.

--- a/pkg/core/claims/settle.go
+++ b/pkg/core/claims/settle.go
@@ -115,6 +115,15 @@
 	s.t.Claims.Touch(e.key)
 	s.due.Schedule(e.key, now+keepFor)
 	s.serveWaiters(now, e, out)
+	s.dropLarge(e)
+}
+
+// dropLarge lets go of an answer that is in the object store, so that large
+// answers do not fill the memory for as long as their claims are kept.
+func (s *System) dropLarge(e *entry) {
+	if e.claim.Stored && e.claim.Row.Object != "" && len(e.waiters) == 0 {
+		e.claim.Row.Answer = nil
+	}
 }
 
 func (s *System) objectRead(now time.Duration, e *entry, reply state.StoreReply, out *state.Outbox) {
@@ -125,6 +134,7 @@
 	}
 	e.claim.Row.Answer = &answer
 	s.answerWaiters(now, e, out)
+	s.dropLarge(e)
 }
 
 func keyReused() *apierror.Error {
--- a/pkg/core/claims_test.go
+++ b/pkg/core/claims_test.go
@@ -190,10 +190,16 @@
 		}
 		w.send(w.nodes[0], order("k", "x"))
 		w.run(time.Second)
+		Expect(w.nodes[0].t.Claims.Get(state.KeyClaim("granite", "k")).Row.Answer).To(BeNil())
+		here := w.send(w.nodes[0], order("k", "x"))
+		w.run(time.Second)
 		w.kill(w.nodes[0])
-		id := w.send(w.nodes[1], order("k", "x"))
+		elsewhere := w.send(w.nodes[1], order("k", "x"))
 		w.run(time.Second)
-		Expect(w.replies[id].Answer.Body).To(HaveLen(300 << 10))
+		for _, id := range []state.RequestID{here, elsewhere} {
+			Expect(w.replies[id].Answer.Body).To(HaveLen(300 << 10))
+			Expect(w.replies[id].Repeated).To(BeTrue())
+		}
 		Expect(w.nodes[1].starts).To(BeEmpty())
 	})
 
