--- a/pkg/core/routing/load.go
+++ b/pkg/core/routing/load.go
@@ -14,8 +14,8 @@
 	useFor = 10 * time.Second
 )
 
-// fetch asks the targets that this node uses for their load. A suspect target
-// is asked too, because a plain service is cleared by its report.
+// fetch asks the targets that this node uses for their load. Suspect and leaving
+// targets are asked too, because a report shows that they are back.
 func (s *System) fetch(now time.Duration, out *state.Outbox) {
 	for id, ok := s.fetches.Pop(now); ok; id, ok = s.fetches.Pop(now) {
 		tr := s.tracks[id]
@@ -23,7 +23,8 @@
 			continue
 		}
 		row := tr.row
-		if row.Address == "" || (now-tr.lastUsed > useFor && !row.Suspect && row.InFlight == 0) {
+		used := now-tr.lastUsed <= useFor || row.InFlight > 0
+		if row.Address == "" || (!used && !row.Suspect && !row.Report.Leaving) {
 			tr.fetching = false
 			continue
 		}
@@ -38,11 +39,11 @@
 // use notes that an attempt goes to a target.
 func (s *System) use(now time.Duration, tr *track, id state.RequestID) {
 	if s.held[id] == tr {
+		// The attempt takes the place that was kept for it.
 		delete(s.held, id)
-		s.watch(now, tr)
-		return
+	} else {
+		tr.row.InFlight++
 	}
-	tr.row.InFlight++
 	tr.row.SentSinceReport++
 	tr.sentSinceFetch++
 	s.t.Targets.Touch(tr.row.ID)
@@ -61,7 +62,12 @@
 // dropped, so that the limit follows the latest state of the target.
 func (s *System) reported(now time.Duration, in state.LoadReport, out *state.Outbox) {
 	tr := s.tracks[in.Target]
-	if tr == nil || !in.OK {
+	if tr == nil {
+		return
+	}
+	s.grew = s.grew || !s.isChecked(now, tr)
+	tr.asked, tr.askedAt = true, max(tr.askedAt, in.SentAt)
+	if !in.OK {
 		return
 	}
 	row := tr.row
@@ -101,7 +107,8 @@
 		s.firstToken(now, tr, now-req.SentAt, out)
 		return
 	}
-	if s.mayResume(req, ev) {
+	if mayResume(req, ev) {
+		// The generation runs on at the target, so that its place is not free.
 		s.held[ev.Request] = tr
 	} else {
 		s.release(tr)
@@ -119,7 +126,29 @@
 	}
 }
 
-// release gives back the place of an attempt at a target.
+// mayResume reports whether the retry system may resume the generation of an
+// attempt that ended.
+func mayResume(req *state.Request, ev state.AttemptEvent) bool {
+	lost := ev.Failure == state.FailureBroken || ev.Failure == state.FailureSilent
+	return lost && req.Arrival.Kind == state.KindModel && req.Phase != state.RequestEnded &&
+		(ev.Generation != "" || req.Generation != "")
+}
+
+// releaseHeld frees the place of a request that does not resume after all.
+func (s *System) releaseHeld(id state.RequestID) {
+	tr := s.held[id]
+	if tr == nil {
+		return
+	}
+	req := s.t.Requests.Get(id)
+	if req != nil && req.Phase != state.RequestEnded && req.Next == state.NextResume {
+		return
+	}
+	delete(s.held, id)
+	s.release(tr)
+}
+
+// release frees one place at a target.
 func (s *System) release(tr *track) {
 	tr.row.InFlight--
 	s.grew = true
@@ -129,27 +158,11 @@
 	}
 }
 
-// mayResume reports whether the engine still works on a generation after its
-// attempt has ended. Its place is held until the retry system has decided, so
-// that the target gets no more than it bears and the resume finds room.
-func (s *System) mayResume(req *state.Request, ev state.AttemptEvent) bool {
-	return req.Arrival.Kind == state.KindModel && ev.Generation != "" &&
-		(ev.Failure == state.FailureBroken || ev.Failure == state.FailureSilent)
-}
-
-// followHeld releases the places of requests that are not resumed.
-func (s *System) followHeld() {
-	for _, id := range s.requests.Take() {
-		tr := s.held[id]
-		if tr == nil {
-			continue
-		}
-		req := s.t.Requests.Get(id)
-		if req == nil || req.Phase == state.RequestEnded || req.Next != state.NextResume {
-			delete(s.held, id)
-			s.release(tr)
-		}
-	}
+// isChecked reports whether a replica of a plain service was asked a short time
+// ago. Groups are probed, but nothing else tells that an unused replica is
+// leaving. One that has no load report is checked by the failed request.
+func (s *System) isChecked(now time.Duration, tr *track) bool {
+	return tr.row.Service == "" || (tr.asked && now-tr.askedAt < reportFor)
 }
 
 // load estimates the requests at a target: its last report, what this node has
--- a/pkg/core/routing/routing.go
+++ b/pkg/core/routing/routing.go
@@ -21,18 +21,19 @@
 	groups   *state.DirtySet[state.GroupID]
 	hosts    *state.DirtySet[state.HostID]
 	peers    *state.DirtySet[state.NodeID]
+	targets  *state.DirtySet[state.TargetID]
+	requests *state.DirtySet[state.RequestID]
+	// held maps requests that may resume to the target that keeps their place.
+	held     map[state.RequestID]*track
 	tracks   map[state.TargetID]*track
 	models   map[string][]*track
 	services map[string][]*track
 	distance map[state.DataCentre]float64
 	loads    map[state.NodeID][]state.TargetCount
 	seen     map[state.HostID]seenHost
-	requests *state.DirtySet[state.RequestID]
-	// held are the places of attempts that may be resumed.
-	held    map[state.RequestID]*track
-	fetches *state.DueQueue[state.TargetID]
-	expiry  *state.DueQueue[state.TargetID]
-	hints   *hints
+	fetches  *state.DueQueue[state.TargetID]
+	expiry   *state.DueQueue[state.TargetID]
+	hints    *hints
 	// unheard counts registered peers whose counts are too old.
 	unheard   int
 	nextHeard time.Duration
@@ -66,8 +67,12 @@
 	firstTokens    int
 	usualFirst     time.Duration
 	hostLeaving    bool
-	whole          bool
-	wholeAt        time.Duration
+	suspect        bool
+	// asked is set once a load request was answered or failed; askedAt dates it.
+	asked   bool
+	askedAt time.Duration
+	whole   bool
+	wholeAt time.Duration
 }
 
 type seenHost struct {
@@ -80,9 +85,9 @@
 func New(t *state.Tables) *System {
 	return &System{
 		t: t, groups: t.Groups.Subscribe(), hosts: t.Hosts.Subscribe(), peers: t.Peers.Subscribe(),
+		targets: t.Targets.Subscribe(), requests: t.Requests.Subscribe(), held: map[state.RequestID]*track{},
 		tracks: map[state.TargetID]*track{}, loads: map[state.NodeID][]state.TargetCount{},
-		seen:     map[state.HostID]seenHost{},
-		requests: t.Requests.Subscribe(), held: map[state.RequestID]*track{},
+		seen:    map[state.HostID]seenHost{},
 		fetches: state.NewDueQueue[state.TargetID](), expiry: state.NewDueQueue[state.TargetID](),
 		hints: newHints(),
 	}
@@ -95,13 +100,22 @@
 		s.version, s.accepted = c.Head.Version, c.Accepted
 		s.rebuild(now)
 	}
-	s.followHeld()
 	for _, id := range s.hosts.Take() {
 		s.hostChanged(id)
 	}
 	for _, id := range s.groups.Take() {
 		s.groupChanged(now, id)
 	}
+	for _, id := range s.requests.Take() {
+		s.releaseHeld(id)
+	}
+	for _, id := range s.targets.Take() {
+		// The membership system clears suspects too.
+		if tr := s.tracks[id]; tr != nil {
+			s.grew = s.grew || (tr.suspect && !tr.row.Suspect)
+			tr.suspect = tr.row.Suspect
+		}
+	}
 	for _, id := range s.peers.Take() {
 		s.peerChanged(id)
 	}
@@ -151,6 +165,9 @@
 	}
 	for _, id := range slices.Clone(s.t.Targets.Keys()) {
 		tr := s.tracks[id]
+		if tr == nil {
+			continue
+		}
 		tr.row.Idle = tr.row.Idle || !tr.declared ||
 			slices.Contains(head.OutDataCentres, tr.row.DataCentre) || slices.Contains(head.OutTargets, id)
 		if !tr.declared && tr.row.InFlight == 0 {
@@ -227,7 +244,7 @@
 		return
 	}
 	stale := now-tr.wholeAt > membership.VerdictFor
-	if group.Whole && (!tr.whole || stale || tr.row.Suspect) {
+	if group.Whole && (!tr.whole || stale || tr.suspect) {
 		s.grew = true
 	}
 	tr.whole, tr.wholeAt = group.Whole, group.WholeAt
