Commit nothing on top of a registry change until it is accepted

Cause: a limit is divided by the registry of a node's version and of the one before. With changes committed as soon as a blocking set knew the version before, fresh nodes could be two registries apart. The router of the specs now adds the shares up: in a schedule with the removal of a node and an operator change they came to 980 of a limit of 840.

Ruled out: keeping the registry of the last accepted version beside the head. Nodes that skip versions would not have it.

--- a/pkg/core/configuration/spread.go
+++ b/pkg/core/configuration/spread.go
@@ -165,7 +165,14 @@
 // mayFollow reports whether the next version may be committed: the present one
 // is known to a blocking set of its own registry and of the one before, so that
 // a majority of either includes a node that knows it.
+//
+// A version that changed the registry must be accepted first. Nodes divide the
+// limits of targets by the registry of their version and of the one before, so
+// that fresh nodes may be one registry apart and no more.
 func (s *System) mayFollow() bool {
 	c := &s.t.Config
-	return c.Accepted >= c.Head.Version || s.spread.blocking.confirmed
+	if c.Accepted >= c.Head.Version {
+		return true
+	}
+	return s.spread.blocking.confirmed && c.Head.Joined == "" && c.Head.Left == nil
 }
--- a/pkg/core/controltest/cluster_test.go
+++ b/pkg/core/controltest/cluster_test.go
@@ -262,14 +262,40 @@
 	for _, n := range c.nodes {
 		c.accepted = max(c.accepted, n.t.Config.Accepted)
 	}
+	total := 0
 	for id, n := range c.nodes {
 		conf := &n.t.Config
-		if n.alive && !n.paused && conf.Fresh && conf.Head.Version < c.accepted &&
-			n.clock()-conf.EvidenceAt < configuration.FreshFor {
+		if !n.alive || n.paused || !conf.Fresh || n.clock()-conf.EvidenceAt >= configuration.FreshFor {
+			continue
+		}
+		total += n.share()
+		if conf.Head.Version < c.accepted {
 			c.violations = append(c.violations, fmt.Sprintf("at %s %s is fresh at version %d, accepted is %d",
 				c.now, id, conf.Head.Version, c.accepted))
 		}
 	}
+	if total > limit {
+		c.violations = append(c.violations, fmt.Sprintf("at %s the shares of a limit of %d add up to %d", c.now, limit, total))
+	}
+}
+
+// limit is the limit of a target whose shares are added up. It divides by all
+// sizes of a registry in these tests.
+const limit = 2 * 2 * 2 * 3 * 5 * 7
+
+// share is what a node may use of the limit, as the routing system counts it.
+func (n *node) share() int {
+	c := &n.t.Config
+	part := func(nodes []state.NodeEntry) int {
+		if !slices.ContainsFunc(nodes, func(e state.NodeEntry) bool { return e.ID == n.self.ID }) {
+			return 0
+		}
+		return limit / len(nodes)
+	}
+	if c.Accepted < c.Head.Version {
+		return min(part(c.Head.Nodes), part(c.PreviousNodes))
+	}
+	return part(c.Head.Nodes)
 }
 
 // command gives an operator command to a node and returns its number.
--- a/pkg/core/controltest/partition_test.go
+++ b/pkg/core/controltest/partition_test.go
@@ -121,6 +121,22 @@
 		safe(c)
 	})
 
+	// Guards against limits that are exceeded because nodes two registries apart
+	// are fresh at once (I3). The router adds the shares up.
+	ginkgo.It("lets nodes join one after the other while others lag behind", func() {
+		c := started(4)
+		c.ids = append(c.ids, "n5", "n6", "n7")
+		c.split("n3", "n4")
+		for _, id := range c.ids[4:] {
+			c.startNode(id)
+		}
+		c.run(100 * time.Millisecond)
+		c.storeCut["n3"], c.storeCut["n4"] = true, true
+		c.run(15 * time.Second)
+		gomega.Expect(c.nodes["n1"].t.Config.Head.Nodes).To(gomega.HaveLen(7))
+		safe(c)
+	})
+
 	// Guards against acceptance by the new registry alone: the three nodes that
 	// are cut off are a majority of the five that they know.
 	ginkgo.It("accepts a node that joins by the registry before as well", func() {
