Spread scans of group and lease rows over their period

Cause: nodes that start together scanned together, 320 nodes at the design scale in one instant of each minute, against a table service that answers about two thousand reads a second. Each scan is now due between half and one and a half periods after the one before it.

--- a/pkg/core/placement/rows.go
+++ b/pkg/core/placement/rows.go
@@ -110,7 +110,8 @@
 	if !lost && (sc.id != 0 || now < sc.next) {
 		return
 	}
-	sc.sentAt, sc.next = now, now+period
+	// Nodes that start together would scan together without the jitter.
+	sc.sentAt, sc.next = now, now+period/2+time.Duration(s.t.Rand.Int64N(int64(period)))
 	sc.id = s.t.Store(out, name, state.StoreRequest{Scan: sc.prefix})
 }
 
