--- a/pkg/core/world_test.go
+++ b/pkg/core/world_test.go
@@ -43,7 +43,15 @@
 	doc         state.Document
 	nextID      int
 	reportLag   time.Duration
-	staleLoads  bool
+	staleLoads  map[state.TargetID]int
+	partitioned bool
+	// keys are those of the requests; executed counts the runs of each key, and
+	// ran holds the requests that a target ran.
+	keys     map[state.RequestID]string
+	executed map[string]int
+	ran      map[state.RequestID]bool
+	found    func(state.OutcomeFound)
+	fetched  func(state.TargetID)
 }
 
 type fakeNode struct {
@@ -73,6 +81,7 @@
 func newWorld(nodes int, switches state.Switches, doc state.Document) *world {
 	w := &world{
 		targets: map[state.TargetID]*fakeTarget{}, store: memory.New(), doc: doc, reportLag: time.Millisecond,
+		keys: map[state.RequestID]string{}, executed: map[string]int{}, ran: map[state.RequestID]bool{},
 		replies: map[state.RequestID]state.Reply{}, repliedAt: map[state.RequestID]time.Duration{},
 	}
 	var registry []state.NodeEntry
@@ -90,6 +99,7 @@
 	for i := range nodes {
 		w.addNode(i, switches, registry)
 	}
+	w.poll()
 	return w
 }
 
@@ -124,12 +134,38 @@
 	w.at(0, n.tick)
 }
 
+// poll gives each node the counts of its peers, as the membership system does.
+func (w *world) poll() {
+	for _, n := range w.nodes {
+		for _, from := range w.nodes {
+			peer := n.t.Peers.Get(from.t.Self.ID)
+			if peer == nil || from.dead || w.partitioned {
+				continue
+			}
+			peer.HeardAt, peer.Loads, peer.Usage = w.now, nil, nil
+			for id, target := range from.t.Targets.All() {
+				if target.InFlight > 0 {
+					peer.Loads = append(peer.Loads, state.TargetCount{Target: id, Count: target.InFlight})
+				}
+			}
+			for id, account := range from.t.Accounts.All() {
+				if account.InFlight > 0 {
+					peer.Usage = append(peer.Usage, state.AccountValue{Account: id, Value: account.InFlight})
+				}
+			}
+			n.t.Peers.Touch(peer.ID)
+		}
+	}
+	w.after(250*time.Millisecond, w.poll)
+}
+
 func (n *fakeNode) tick() {
 	if n.dead {
 		return
 	}
 	for _, g := range n.t.Groups.All() {
 		g.WholeAt = n.w.now
+		n.t.Groups.Touch(g.ID)
 	}
 	n.feed(state.Tick{})
 	n.w.after(state.TickPeriod, n.tick)
@@ -171,6 +207,9 @@
 			})
 		})
 	case state.FetchLoad:
+		if w.fetched != nil {
+			w.fetched(out.Target)
+		}
 		w.after(w.reportLag, func() { w.report(n, out) })
 	case state.FetchLookup:
 		w.lookups++
@@ -180,6 +219,8 @@
 			panic("two replies to " + string(out.Request))
 		}
 		w.replies[out.Request], w.repliedAt[out.Request] = out, w.now
+	case state.OutcomeFound:
+		w.found(out)
 	case state.LogEvent:
 		n.logs = append(n.logs, out)
 	}
@@ -210,7 +251,7 @@
 
 func (w *world) deliver(from *fakeNode, out state.SendPeer) {
 	for _, n := range w.nodes {
-		if n.t.Self.ID == out.To && !from.dead {
+		if n.t.Self.ID == out.To && !from.dead && n.t.Peers.Get(from.t.Self.ID).Linked {
 			n.feed(state.PeerMessage{From: from.t.Self.ID, Message: out.Message})
 		}
 	}
@@ -227,9 +268,7 @@
 	}
 	target.running++
 	target.peak = max(target.peak, target.running)
-	if req := n.t.Requests.Get(start.Request); req != nil {
-		target.executions[req.Arrival.Key]++
-	}
+	w.execute(target, start)
 	w.after(target.serve, func() {
 		target.running--
 		target.completed++
@@ -240,13 +279,22 @@
 	})
 }
 
+// execute notes that a target runs a request.
+func (w *world) execute(target *fakeTarget, start state.StartAttempt) {
+	w.ran[start.Request] = true
+	if key := w.keys[start.Request]; key != "" {
+		target.executions[key]++
+		w.executed[key]++
+	}
+}
+
 func (w *world) report(n *fakeNode, out state.FetchLoad) {
 	target := w.targets[out.Target]
 	answer := state.LoadAnswer{
 		Incarnation: target.incarnation, Completed: target.completed, Running: target.running, Leaving: target.leaving,
 	}
-	if w.staleLoads {
-		answer.Running = 0
+	if running, ok := w.staleLoads[out.Target]; ok {
+		answer.Running = running
 	}
 	n.feed(state.LoadReport{Target: out.Target, SentAt: out.SentAt, OK: true, Answer: answer})
 }
@@ -274,6 +322,7 @@
 	if a.Timeout == 0 {
 		a.Timeout = 60 * time.Second
 	}
+	w.keys[a.ID] = a.Key
 	n.feed(a)
 	return a.ID
 }
--- a/pkg/node/main.go
+++ b/pkg/node/main.go
@@ -4,15 +4,11 @@
 	"context"
 	"io"
 	"log/slog"
-	"math"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/zeromicro/go-zero/core/logx"
-	"github.com/zeromicro/go-zero/core/proc"
-	"github.com/zeromicro/go-zero/core/stat"
-
+	"github.com/apricotgrade/apricotgrade/internal/gozero"
 	"github.com/apricotgrade/apricotgrade/pkg/settings"
 )
 
@@ -44,9 +40,4 @@
 
 // QuietLibraries stops go-zero from ending the process 5.5 s after SIGTERM,
 // which would cut streams off, and from logging and sampling on its own.
-func QuietLibraries() {
-	proc.SetTimeToForceQuit(math.MaxInt64)
-	logx.Disable()
-	stat.DisableLog()
-	stat.SetReporter(nil)
-}
+func QuietLibraries() { gozero.Quiet(slog.Default()) }
