--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -99,7 +99,7 @@
 	go n.serve(ctx, n.admin, admin.Serve)
 	go n.serve(ctx, n.callers, n.server.Serve)
 	n.log.LogAttrs(ctx, slog.LevelInfo, "node listens",
-		slog.String("callers", n.CallerAddress()), slog.String("peers", n.peers.Addr().String()))
+		slog.String("callers", n.CallerAddress()), slog.String("peers", n.peers.Addr().String()), slog.String("operators", n.AdminAddress()))
 	go func() {
 		<-n.daemon.Stopping()
 		n.server.StopAccepting()
