--- a/pkg/core/routing/routing.go
+++ b/pkg/core/routing/routing.go
@@ -27,9 +27,12 @@
 	distance map[state.DataCentre]float64
 	loads    map[state.NodeID][]state.TargetCount
 	seen     map[state.HostID]seenHost
-	fetches  *state.DueQueue[state.TargetID]
-	expiry   *state.DueQueue[state.TargetID]
-	hints    *hints
+	requests *state.DirtySet[state.RequestID]
+	// held are the places of attempts that may be resumed.
+	held    map[state.RequestID]*track
+	fetches *state.DueQueue[state.TargetID]
+	expiry  *state.DueQueue[state.TargetID]
+	hints   *hints
 	// unheard counts registered peers whose counts are too old.
 	unheard   int
 	nextHeard time.Duration
@@ -44,6 +47,10 @@
 // track is what this node knows about a target besides its row.
 type track struct {
 	row *state.Target
+	// group is the row of the target's group; nil for a replica of a service.
+	group *state.Group
+	// distance is the price of the way to the target's data centre.
+	distance float64
 	// rank and oldRank are this node's places in the rendezvous order of the
 	// registry and of the one before it; negative when it is not registered.
 	rank    int
@@ -74,7 +81,8 @@
 	return &System{
 		t: t, groups: t.Groups.Subscribe(), hosts: t.Hosts.Subscribe(), peers: t.Peers.Subscribe(),
 		tracks: map[state.TargetID]*track{}, loads: map[state.NodeID][]state.TargetCount{},
-		seen:    map[state.HostID]seenHost{},
+		seen:     map[state.HostID]seenHost{},
+		requests: t.Requests.Subscribe(), held: map[state.RequestID]*track{},
 		fetches: state.NewDueQueue[state.TargetID](), expiry: state.NewDueQueue[state.TargetID](),
 		hints: newHints(),
 	}
@@ -87,6 +95,7 @@
 		s.version, s.accepted = c.Head.Version, c.Accepted
 		s.rebuild(now)
 	}
+	s.followHeld()
 	for _, id := range s.hosts.Take() {
 		s.hostChanged(id)
 	}
@@ -148,6 +157,7 @@
 			s.drop(id)
 			continue
 		}
+		tr.distance = s.distance[tr.row.DataCentre]
 		s.t.Targets.Touch(id)
 	}
 	s.rankAll()
@@ -211,6 +221,7 @@
 	if tr == nil {
 		return
 	}
+	tr.group = group
 	if group == nil {
 		tr.whole, tr.row.Address = false, ""
 		return
@@ -297,6 +308,7 @@
 		return
 	}
 	s.nextHeard = now + heardFor/8
+	before := s.unheard
 	s.unheard = 0
 	for _, e := range s.t.Config.Head.Nodes {
 		peer := s.t.Peers.Get(e.ID)
@@ -304,4 +316,5 @@
 			s.unheard++
 		}
 	}
+	s.grew = s.grew || s.unheard < before
 }
--- a/pkg/core/state/tables.go
+++ b/pkg/core/state/tables.go
@@ -51,6 +51,7 @@
 	IgnoreVersionOrder bool
 	IgnoreHostRows     bool
 	IgnoreFairness     bool
+	IgnoreRepair       bool
 	IgnoreOrderExpiry  bool
 	// IgnoreBudgets retries without bounds.
 	IgnoreBudgets bool
