--- a/test/session_test.go
+++ b/test/session_test.go
@@ -61,7 +61,8 @@
 `
 
 // startInstallation runs a platform, five engines, an order service and two
-// entry daemons, and waits until they serve.
+// entry daemons, and waits until they serve. It returns the platform and the
+// entry daemons by name.
 func startInstallation(t *testing.T) (in *installation, nodes map[string]*process) {
 	t.Helper()
 	in, nodes = newInstallation(t), map[string]*process{}
@@ -73,7 +74,7 @@
 			fmt.Sprintf("[engine]\nlisten = <%s>\nid = %s\ntokens = %d\n", e.id, e.id, tokens)))
 	}
 	in.start(programStandin, "service", "-settings", in.write("orders.ini", "[service]\nlisten = <orders>\n"))
-	in.start(programStandin, "platform", "-settings", in.write("platform.ini", platform))
+	nodes["platform"] = in.start(programStandin, "platform", "-settings", in.write("platform.ini", platform))
 	for i, node := range []struct{ id, dataCentre string }{{"n1", "north"}, {"n2", "coast"}} {
 		nodes[node.id] = in.start(programDaemon, "-settings", in.write(node.id+".ini", nodeSettings(node.id, node.dataCentre)))
 		// The second node starts once the first is registered, so that the
