Trust no member that was loaded for another assignment

Cause: a member whose engine ignores fencing numbers counted as a member of the group whatever number it reported.

Ruled out: stopping whenever the group rows are not confirmed, which stops the service in a platform outage.

--- a/pkg/core/membership/verdict.go
+++ b/pkg/core/membership/verdict.go
@@ -87,10 +87,13 @@
 }
 
 // serves reports whether a member's last answer says that it serves in the
-// group as the row has it.
+// group as the row has it. An engine that ignores fencing numbers may report
+// none. One that reports another number was loaded for another assignment: this
+// node's row is out of date, or the order of a former holder took effect.
 func serves(row *state.Group, host *state.Host) bool {
 	p := &host.Probe
-	return p.Phase == state.PhaseReady && p.Group == row.ID && (!p.ChecksFence || p.Fence == row.Fence)
+	fence := p.Fence == row.Fence || !p.ChecksFence && p.Fence == 0
+	return p.Phase == state.PhaseReady && p.Group == row.ID && fence
 }
 
 // loadedTogether reports whether the members are those that loaded together. A
