--- a/test/process/process_test.go
+++ b/test/process/process_test.go
@@ -28,7 +28,7 @@
 // stream: by a limit of the daemon, or by go-zero's signal handler, which ends
 // a process 5.5 s after SIGTERM.
 func TestStreamEndsWholeThroughSIGTERM(t *testing.T) {
-	r := newRig(t, 1, nil)
+	r := newRig(t, nil)
 	p := r.start("n1")
 	const tokens = 80
 	for _, e := range r.engines {
@@ -60,7 +60,7 @@
 // TestSilentConnectionInStream guards against an answer with missing or
 // repeated text after a connection to an engine went silent.
 func TestSilentConnectionInStream(t *testing.T) {
-	r := newRig(t, 1, nil)
+	r := newRig(t, nil)
 	p := r.start("n1")
 	r.fault(`{"action":"silent","after":7}`, r.hosts...)
 	r.expectWhole(p.chat(`,"stream":true`), 20)
@@ -70,7 +70,7 @@
 // service has read before it reset the connection, and against an outcome that
 // is claimed without proof.
 func TestOrderResetRunsOnce(t *testing.T) {
-	r := newRig(t, 1, func(doc *state.Document) { doc.Services[0].Lookup = "" })
+	r := newRig(t, func(doc *state.Document) { doc.Services[0].Lookup = "" })
 	p := r.start("n1")
 	r.fault(`{"action":"reset","count":10}`, r.orders)
 	for range 3 {
@@ -84,7 +84,7 @@
 // TestOrderResetIsLookedUp guards against an unknown outcome that stays unknown
 // although the service can be asked.
 func TestOrderResetIsLookedUp(t *testing.T) {
-	r := newRig(t, 1, nil)
+	r := newRig(t, nil)
 	p := r.start("n1")
 	r.fault(`{"action":"reset"}`, r.orders)
 	a := p.order("k1")
@@ -97,7 +97,7 @@
 // TestKilledHolderOfOrder guards against a second execution when the node that
 // holds an order is killed and the caller repeats it at another node.
 func TestKilledHolderOfOrder(t *testing.T) {
-	r := newRig(t, 1, nil)
+	r := newRig(t, nil)
 	a, b := r.start("n1"), r.start("n2")
 	r.linked(a, b)
 	r.fault(`{"action":"slow","delay_ms":1500}`, r.orders)
@@ -128,7 +128,7 @@
 // TestPausedNodeSendsNothingStale guards against a node that was paused and
 // sends new work to a target that was taken out in the meantime.
 func TestPausedNodeSendsNothingStale(t *testing.T) {
-	r := newRig(t, 1, nil)
+	r := newRig(t, nil)
 	a, b := r.start("n1"), r.start("n2")
 	r.linked(a, b)
 	ctx, cancel := context.WithTimeout(context.Background(), bound)
@@ -164,7 +164,7 @@
 // TestPlatformDownForLong guards against model requests that stop with the
 // platform, and against orders that are sent without a claim.
 func TestPlatformDownForLong(t *testing.T) {
-	r := newRig(t, 1, nil)
+	r := newRig(t, nil)
 	nodes := []*process{r.start("n1"), r.start("n2"), r.start("n3")}
 	r.linked(nodes...)
 	r.down.Store(true)
@@ -188,7 +188,7 @@
 // TestResumeAtAnotherNode guards against a caller that cannot go on with its
 // stream when its entry host dies, or gets text twice.
 func TestResumeAtAnotherNode(t *testing.T) {
-	r := newRig(t, 1, nil)
+	r := newRig(t, nil)
 	a, b := r.start("n1"), r.start("n2")
 	const tokens = 60
 	for _, e := range r.engines {
--- a/test/process/rig_test.go
+++ b/test/process/rig_test.go
@@ -71,15 +71,18 @@
 	hosts   []string
 }
 
+// members is the number of hosts of the one replica group.
+const members = 2
+
 // newRig starts the stand-ins with one replica group per pair of engines.
 // Change may edit the declarations.
-func newRig(t *testing.T, groups int, change func(*state.Document)) *rig {
+func newRig(t *testing.T, change func(*state.Document)) *rig {
 	t.Helper()
 	r := &rig{WithT: NewWithT(t), t: t, store: memory.New(), service: standin.NewService()}
 	r.orders = r.serve(r.service.Handler())
 	var hosts []state.ListedHost
 	directory := map[state.HostID]string{}
-	for i := range 2 * groups {
+	for i := range members {
 		e := standin.NewEngine(state.Incarnation(i + 1))
 		e.ID, e.Directory = state.HostID(fmt.Sprintf("h%d", i+1)), directory
 		e.TokenTime, e.Tokens = time.Millisecond, 20
@@ -92,7 +95,7 @@
 		})
 	}
 	r.store.SetHosts(hosts)
-	doc := standin.DemoDocument(groups, strings.TrimPrefix(r.orders, "http://"))
+	doc := standin.DemoDocument(1, strings.TrimPrefix(r.orders, "http://"))
 	if change != nil {
 		change(&doc)
 	}
