--- a/pkg/core/routing/load.go
+++ b/pkg/core/routing/load.go
@@ -39,11 +39,12 @@
 // use notes that an attempt goes to a target.
 func (s *System) use(now time.Duration, tr *track, id state.RequestID) {
 	if s.held[id] == tr {
-		// The attempt takes the place that was kept for it.
+		// The attempt takes the place that was kept for it and adds no load.
 		delete(s.held, id)
-	} else {
-		tr.row.InFlight++
+		s.watch(now, tr)
+		return
 	}
+	tr.row.InFlight++
 	tr.row.SentSinceReport++
 	tr.sentSinceFetch++
 	s.t.Targets.Touch(tr.row.ID)
