--- a/pkg/core/membership/reply.go
+++ b/pkg/core/membership/reply.go
@@ -64,10 +64,13 @@
 	if r.Evidence >= 0 {
 		row.EvidenceAt = sentAt - r.Evidence
 	}
-	if row.Leaving != r.Leaving || !slices.Equal(row.Blind, r.Blind) {
+	if !slices.Equal(row.Blind, r.Blind) {
 		s.watch.changed = true
 	}
 	row.Leaving, row.Blind, row.Unreached = r.Leaving, r.Blind, r.Unreached
+	if _, listed := slices.BinarySearch(s.watch.live, from); listed != s.isLive(now, row) {
+		s.watch.changed = true
+	}
 	row.Loads = mergeCounts(row.Loads, r.Loads)
 	row.Usage = mergeUsage(row.Usage, r.Usage)
 	s.t.Peers.Touch(from)
@@ -76,9 +79,6 @@
 
 // heard notes that a peer answered a poll sent at a time.
 func (s *System) heard(row *state.Peer, ps *peerState, sentAt time.Duration) {
-	if _, live := slices.BinarySearch(s.watch.live, row.ID); !live {
-		s.watch.changed = true
-	}
 	row.HeardAt = max(sentAt, 1)
 	row.Unreachable = false
 	s.exchange.unreached = without(s.exchange.unreached, row.ID)
--- a/pkg/core/membership/watch.go
+++ b/pkg/core/membership/watch.go
@@ -149,9 +149,7 @@
 			self = !s.t.Draining
 			continue
 		}
-		p := s.t.Peers.Get(n.ID)
-		if p != nil && p.Linked && !p.Leaving && p.HeardAt > 0 &&
-			(p.SilentSince == 0 || now-p.SilentSince < silentFor) {
+		if p := s.t.Peers.Get(n.ID); p != nil && s.isLive(now, p) {
 			live = append(live, n.ID)
 		}
 	}
@@ -161,6 +159,11 @@
 	return live
 }
 
+func (s *System) isLive(now time.Duration, p *state.Peer) bool {
+	return p.Linked && !p.Leaving && p.HeardAt > 0 && s.isRegistered(p.ID) &&
+		(p.SilentSince == 0 || now-p.SilentSince < silentFor)
+}
+
 // chooseWatchers takes the live nodes in rendezvous order. Nodes that are blind
 // for the group's data centre probe as well, so that they notice when they see
 // again, but they do not count.
