Put the decision measurements on the command line

Engines that ignore fencing numbers and report another number than the row are loaded again, as the membership system does not count them as members.

--- a/pkg/bench/registry.go
+++ b/pkg/bench/registry.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/apricotgrade/apricotgrade/pkg/bench/decisions"
 	"github.com/apricotgrade/apricotgrade/pkg/bench/slopes"
 )
 
@@ -34,10 +35,18 @@
 // All returns the measurements in order of name. A new one is added here.
 func All() []Bench {
 	return []Bench{
+		{Name: "decisions", Synopsis: "each decision against its simplest baseline, in virtual time", Run: runDecisions},
 		{Name: "slopes", Synopsis: "control cost of a node against nodes, groups, members, accounts and changes; [PLOT.png]", Run: runSlopes},
 	}
 }
 
+func runDecisions(_ context.Context, o Options) error {
+	if o.JSON || len(o.Args) > 0 {
+		return errors.New("decisions takes no argument and has no JSON form; run it alone")
+	}
+	return decisions.Run(o.Out, decisions.Options{Seed: o.Seed})
+}
+
 func runSlopes(_ context.Context, o Options) error {
 	plot := ""
 	switch {
--- a/pkg/core/membership/verdict.go
+++ b/pkg/core/membership/verdict.go
@@ -87,13 +87,12 @@
 }
 
 // serves reports whether a member's last answer says that it serves in the
-// group as the row has it. An engine that ignores fencing numbers may report
-// none. One that reports another number was loaded for another assignment: this
-// node's row is out of date, or the order of a former holder took effect.
+// group as the row has it. One that reports another fencing number was loaded
+// for another assignment: this node's row is out of date, or the order of a
+// former holder took effect.
 func serves(row *state.Group, host *state.Host) bool {
 	p := &host.Probe
-	fence := p.Fence == row.Fence || !p.ChecksFence && p.Fence == 0
-	return p.Phase == state.PhaseReady && p.Group == row.ID && fence
+	return p.Phase == state.PhaseReady && p.Group == row.ID && p.HoldsFence(row.Fence)
 }
 
 // loadedTogether reports whether the members are those that loaded together. A
--- a/pkg/core/placement/plan.go
+++ b/pkg/core/placement/plan.go
@@ -137,7 +137,7 @@
 		}
 		a := &h.answer
 		return a.Phase == state.PhaseEmpty || (a.Phase == state.PhaseReady &&
-			(!g.alike(a) || (a.ChecksFence && a.Fence != g.row.Fence)))
+			(!g.alike(a) || !a.HoldsFence(g.row.Fence)))
 	})
 }
 
@@ -153,7 +153,7 @@
 	shared := s.t.Groups.Get(g.id)
 	for _, m := range g.row.Members {
 		switch row := s.t.Hosts.Get(m); {
-		case shared != nil && slices.Contains(shared.Dead, m):
+		case shared != nil && slices.Contains(shared.Dead, m) && !s.t.Switches.IgnoreRepair:
 			n.lost, n.dead = append(n.lost, m), true
 		case row != nil && row.Leaving:
 			n.lost = append(n.lost, m)
--- a/pkg/core/state/row.go
+++ b/pkg/core/state/row.go
@@ -125,6 +125,12 @@
 	ChecksFence bool `cbor:"9,keyasint" json:"checks_fence"`
 }
 
+// HoldsFence reports whether the engine was loaded by an order with a fencing
+// number. An engine that ignores the numbers may report none.
+func (a *ProbeAnswer) HoldsFence(fence Fence) bool {
+	return a.Fence == fence || !a.ChecksFence && a.Fence == 0
+}
+
 // Group is a replica group as the table service has it ("group/<id>"), with
 // the verdict on it. Row fields are written by the placement system, verdict
 // fields by the membership system.
--- a/pkg/scenario/checks.go
+++ b/pkg/scenario/checks.go
@@ -265,6 +265,9 @@
 	}
 	e.Overloads++
 	c.world.Metrics.Overloads++
+	if limit < c.world.Options.WarmLimit {
+		c.world.Metrics.ColdOverloads++
+	}
 	noticed := e.coldAt == 0 || c.world.Now > e.coldAt+coldNotice
 	if noticed && limit < c.world.Options.WarmLimit {
 		c.breach("I3", "target %s runs %d requests and bears %d", a.start.Target, len(e.attempts)+1, limit)
--- a/pkg/scenario/metrics.go
+++ b/pkg/scenario/metrics.go
@@ -16,8 +16,10 @@
 	Answered int
 	// Refused counts refusals by code.
 	Refused map[string]int
-	// Overloads counts starts on engines beyond what they bear.
-	Overloads int
+	// Overloads counts starts on engines beyond what they bear, ColdOverloads
+	// those on engines below their warm limit.
+	Overloads     int
+	ColdOverloads int
 	// Downtime is the sum over declared groups of the time in which they were
 	// not whole; Stranded is the sum over healthy hosts of the time in which
 	// they were in no whole group.
