Tell a new watcher which members loaded together

Cause: a watcher that started later recorded the members that it found as those that loaded together. With a member that had restarted and called itself ready, the other watcher said not whole, the new one whole, and all nodes routed to the group. Also, a watcher that was cut off while a member loaded could never call the group whole again; with both cut off, nobody could.

A node now takes the incarnations from the last whole verdict in force or from the other nodes' verdicts, and watches or probes by itself only after it has known the registry for 1 s, so that they have told. Any node that sees a member before it is ready, be it by a probe of the placement system, passes that on: it is a fact that lasts and needs no age. A fact that the verdict in force rests on is left out of replies.

Ruled out: trusting a member that says ready for the right group and fencing number in a new incarnation, as an engine may resume by itself while the others have lost it.

Not covered: when the only node that saw a load dies within a poll, the group stays not whole until it is loaded again.

--- a/pkg/core/controltest/cluster_test.go
+++ b/pkg/core/controltest/cluster_test.go
@@ -67,9 +67,12 @@
 }
 
 type fakeHost struct {
+	id     state.HostID
 	answer state.ProbeAnswer
 	dead   bool
 	cut    map[state.NodeID]bool
+	// reloaded is set once the host has restarted and loaded again.
+	reloaded bool
 }
 
 type node struct {
--- a/pkg/core/controltest/membership_test.go
+++ b/pkg/core/controltest/membership_test.go
@@ -22,7 +22,7 @@
 		for j := range 2 {
 			h := state.HostID(fmt.Sprintf("h%d", 2*i+j+1))
 			members = append(members, h)
-			c.hosts[h] = &fakeHost{cut: map[state.NodeID]bool{}, answer: state.ProbeAnswer{
+			c.hosts[h] = &fakeHost{id: h, cut: map[state.NodeID]bool{}, answer: state.ProbeAnswer{
 				Incarnation: 1, Phase: state.PhaseReady, Group: id, Fence: 1, ChecksFence: true,
 			}}
 			c.listed = append(c.listed, state.ListedHost{ID: h, Address: "addr-" + string(h), DataCentre: "north", Domain: "d"})
@@ -154,6 +154,38 @@
 		ginkgo.Entry("whole by mistake without it", true, 6),
 	)
 
+	// Guards against a watcher that starts later and takes the members that it
+	// finds for those that loaded together.
+	ginkgo.It("tells a new watcher which members loaded together", func() {
+		c := watched(3, 1)
+		c.hosts["h2"].answer.Incarnation = 2
+		c.run(2 * time.Second)
+		gomega.Expect(c.routers("g1")).To(gomega.BeZero())
+		for _, id := range c.watchers("h1") {
+			c.startNode(id)
+			c.putGroup("g1", 1, "h1", "h2")
+			for range 50 {
+				c.run(100 * time.Millisecond)
+				gomega.Expect(c.routers("g1")).To(gomega.BeZero())
+			}
+		}
+	})
+
+	// Guards against a group that stays out of use because its watchers were cut
+	// off while a member loaded: the node that gave the order saw it.
+	ginkgo.It("passes on that a member was seen before it was ready", func() {
+		c := watched(6, 1)
+		watchers := c.watchers("h1")
+		for _, id := range watchers {
+			c.hosts["h2"].cut[id] = true
+		}
+		c.reload(c.hosts["h2"])
+		c.run(2 * time.Second)
+		clear(c.hosts["h2"].cut)
+		c.run(2 * time.Second)
+		gomega.Expect(c.routers("g1")).To(gomega.Equal(6))
+	})
+
 	// Guards against a group whose members still serve as an earlier fencing
 	// number had them.
 	ginkgo.It("takes no answer for an older fencing number", func() {
--- a/pkg/core/membership/changelog.go
+++ b/pkg/core/membership/changelog.go
@@ -13,6 +13,7 @@
 	itemLoad itemKind = iota
 	itemUsage
 	itemVerdict
+	itemNotReady
 )
 
 type item struct {
--- a/pkg/core/membership/membership.go
+++ b/pkg/core/membership/membership.go
@@ -69,6 +69,7 @@
 		s.nextList = now + listPeriod
 		out.Add(state.FetchHosts{})
 	}
+	s.settle(now)
 	s.expireSilent(now, out)
 	s.poll(now, out)
 	s.probe(now, out)
--- a/pkg/core/membership/probe.go
+++ b/pkg/core/membership/probe.go
@@ -27,14 +27,15 @@
 	reach map[state.DataCentre]*reach
 	// blind are the data centres of which this node reaches less than half.
 	blind []state.DataCentre
+	// notReady is the last incarnation of a member that any node has seen before
+	// it was ready. A member that is ready later has loaded since.
+	notReady map[state.HostID]state.Incarnation
 }
 
 // hostState is what the prober keeps about a host that it probes.
 type hostState struct {
-	dc     state.DataCentre
-	result probeState
-	// notReady is the last incarnation that was seen before it was ready.
-	notReady  state.Incarnation
+	dc        state.DataCentre
+	result    probeState
 	latencies []time.Duration
 	next      int
 	median    time.Duration
@@ -59,7 +60,7 @@
 
 func (p *prober) init() {
 	p.queue, p.hosts = state.NewDueQueue[state.HostID](), map[state.HostID]*hostState{}
-	p.reach = map[state.DataCentre]*reach{}
+	p.reach, p.notReady = map[state.DataCentre]*reach{}, map[state.HostID]state.Incarnation{}
 }
 
 // period returns how often this node probes a host; 0 means not at all.
@@ -124,6 +125,11 @@
 // probed takes the answer to a probe. Answers are dated by the send time of the
 // probe, and one that is older than another answer of the host is dropped.
 func (s *System) probed(now time.Duration, res state.ProbeResult, out *state.Outbox) {
+	if res.OK && res.Answer.Phase != state.PhaseReady {
+		// The probe may be one of the placement system, which sees the phases of
+		// a load even when the watchers do not.
+		s.sawNotReady(res.Host, res.Answer.Incarnation)
+	}
 	row, h := s.t.Hosts.Get(res.Host), s.prober.hosts[res.Host]
 	if row == nil || h == nil || row.ProbeAt > res.SentAt {
 		return
@@ -131,9 +137,6 @@
 	wasFailed, before := row.FailedSince, row.Probe
 	if res.OK {
 		row.Probe, row.ProbeAt, row.FailedSince = res.Answer, res.SentAt, 0
-		if res.Answer.Phase != state.PhaseReady {
-			h.notReady = res.Answer.Incarnation
-		}
 		h.sample(res.Answer.Latency)
 		s.setResult(h, probeGood, out)
 	} else {
@@ -152,6 +155,30 @@
 	}
 }
 
+// sawNotReady notes a fact that lasts, so that it is passed on without an age.
+func (s *System) sawNotReady(id state.HostID, incarnation state.Incarnation) {
+	if s.watch.memberOf[id] == "" || s.prober.notReady[id] >= incarnation {
+		return
+	}
+	s.prober.notReady[id] = incarnation
+	s.log.changed(item{itemNotReady, string(id)})
+}
+
+// reportNotReady appends a member to a reply unless the verdict in force rests
+// on its incarnation already.
+func (s *System) reportNotReady(list []state.HostSeen, id state.HostID) []state.HostSeen {
+	seen := state.HostSeen{Host: id, Incarnation: s.prober.notReady[id]}
+	g := s.watch.groups[s.watch.memberOf[id]]
+	if g == nil {
+		return list
+	}
+	row, i := s.t.Groups.Get(g.id), slices.Index(g.members, id)
+	if row != nil && row.Whole && i < len(row.Incarnations) && row.Incarnations[i] == seen.Incarnation {
+		return list
+	}
+	return append(list, seen)
+}
+
 func sameAnswer(a, b state.ProbeAnswer) bool {
 	return a.Incarnation == b.Incarnation && a.Phase == b.Phase && a.Group == b.Group && a.Fence == b.Fence &&
 		a.Model == b.Model && a.Version == b.Version && a.ChecksFence == b.ChecksFence &&
--- a/pkg/core/membership/reply.go
+++ b/pkg/core/membership/reply.go
@@ -37,6 +37,8 @@
 			r.Usage = append(r.Usage, state.AccountValue{Account: state.AccountID(it.key), Value: s.log.counts[it]})
 		case itemVerdict:
 			r.Verdicts = append(r.Verdicts, s.ownVerdict(now, state.GroupID(it.key)))
+		case itemNotReady:
+			r.NotReady = s.reportNotReady(r.NotReady, state.HostID(it.key))
 		}
 	})
 	return r
@@ -74,6 +76,9 @@
 	row.Loads = mergeCounts(row.Loads, r.Loads)
 	row.Usage = mergeUsage(row.Usage, r.Usage)
 	s.t.Peers.Touch(from)
+	for _, seen := range r.NotReady {
+		s.sawNotReady(seen.Host, seen.Incarnation)
+	}
 	s.takeVerdicts(now, from, sentAt, r, out)
 }
 
--- a/pkg/core/membership/verdict.go
+++ b/pkg/core/membership/verdict.go
@@ -41,7 +41,7 @@
 // judge makes this node's own verdict from its probes.
 func (s *System) judge(now time.Duration, g *groupState) {
 	if !g.duty && !g.alone {
-		g.own = nil
+		g.own, g.loaded = nil, nil
 		return
 	}
 	row := s.t.Groups.Get(g.id)
@@ -98,16 +98,16 @@
 // before it was ready, which shows that it has loaded again.
 func (s *System) loadedTogether(g *groupState, row *state.Group, now []state.Incarnation) bool {
 	if g.loaded == nil {
-		g.loaded = now
-		if len(row.Incarnations) == len(now) && row.Judged {
-			g.loaded = slices.Clone(row.Incarnations)
+		g.loaded = g.knownLoaded(row)
+		if len(g.loaded) != len(now) {
+			g.loaded = now
 		}
 	}
 	if s.t.Switches.IgnoreWholeness || slices.Equal(g.loaded, now) {
 		return true
 	}
 	for i, m := range g.members {
-		if now[i] != g.loaded[i] && s.prober.hosts[m].notReady != now[i] {
+		if now[i] != g.loaded[i] && s.prober.notReady[m] != now[i] {
 			return false
 		}
 	}
@@ -115,6 +115,24 @@
 	return true
 }
 
+// knownLoaded returns the incarnations that loaded together by what this node
+// has heard: those of the last whole verdict, or of any node that watches. It
+// returns nil when nobody has told; a node that begins to watch then takes the
+// members that it finds.
+func (g *groupState) knownLoaded(row *state.Group) []state.Incarnation {
+	if row.Judged && len(row.Incarnations) > 0 && g.heardFence == row.Fence {
+		return slices.Clone(row.Incarnations)
+	}
+	var from state.NodeID
+	var known []state.Incarnation
+	for id, v := range g.votes {
+		if v.fence == row.Fence && len(v.incarnations) > 0 && (known == nil || id < from) {
+			from, known = id, v.incarnations
+		}
+	}
+	return slices.Clone(known)
+}
+
 func (s *System) hasStraggler(g *groupState) bool {
 	medians := make([]time.Duration, 0, len(g.members))
 	for _, m := range g.members {
@@ -156,6 +174,11 @@
 	changed := (latest >= 0) != row.Judged || (best != nil) != row.Whole
 	if best != nil {
 		row.WholeAt = best.at
+		g.heardFence = row.Fence
+		if g.loaded != nil && best != g.own && len(best.incarnations) == len(g.loaded) {
+			// The other watcher saw the members load.
+			g.loaded = slices.Clone(best.incarnations)
+		}
 		changed = changed || row.Straggler != best.straggler || !slices.Equal(row.Incarnations, best.incarnations)
 		row.Straggler, row.Incarnations = best.straggler, best.incarnations
 	}
@@ -215,7 +238,7 @@
 		g.alone = false
 		return
 	}
-	if !g.alone && (latest < 0 || now-latest >= aloneAfter) {
+	if !g.alone && now-max(latest, g.since) >= aloneAfter {
 		g.alone = true
 		s.probeMembers(now, g)
 	}
@@ -253,7 +276,7 @@
 			next = at
 		}
 	}
-	soon(latest + aloneAfter)
+	soon(max(latest, g.since) + aloneAfter)
 	if best != nil {
 		soon(best.at + VerdictFor)
 	}
--- a/pkg/core/membership/votes.go
+++ b/pkg/core/membership/votes.go
@@ -53,7 +53,7 @@
 			continue
 		}
 		ps.groups = with(ps.groups, v.Group)
-		s.group(v.Group).votes[from] = newVote(now, sentAt, v)
+		s.group(now, v.Group).votes[from] = newVote(now, sentAt, v)
 	}
 	for _, id := range ps.groups {
 		g := s.watch.groups[id]
@@ -75,10 +75,10 @@
 
 // group returns the state of a group. A peer may judge a group before this node
 // has read its row.
-func (s *System) group(id state.GroupID) *groupState {
+func (s *System) group(now time.Duration, id state.GroupID) *groupState {
 	g := s.watch.groups[id]
 	if g == nil {
-		g = &groupState{id: id, votes: map[state.NodeID]*vote{}}
+		g = &groupState{id: id, since: now, votes: map[state.NodeID]*vote{}}
 		s.watch.groups[id] = g
 	}
 	return g
--- a/pkg/core/membership/watch.go
+++ b/pkg/core/membership/watch.go
@@ -24,6 +24,11 @@
 	live []state.NodeID
 	// changed is set when the live nodes or what they reach may have changed.
 	changed bool
+	// settled is set once this node has known the registry for aloneAfter. Its
+	// peers have told their verdicts by then; before, it would take any members
+	// that it finds for those that loaded together.
+	settled bool
+	knownAt time.Duration
 	// draining is whether this node had given its watch up.
 	draining bool
 	// again holds the groups whose watchers are chosen again in this step.
@@ -46,6 +51,11 @@
 	// loaded are the incarnations that loaded together at fence loadedFence.
 	loaded      []state.Incarnation
 	loadedFence state.Fence
+	// heardFence is the fencing number of the last whole verdict in force.
+	heardFence state.Fence
+	// since is when this node heard of the group. Its peers get time to tell
+	// their verdicts before it probes without duty.
+	since time.Duration
 	// own is this node's verdict from its own probes.
 	own   *vote
 	votes map[state.NodeID]*vote
@@ -56,7 +66,21 @@
 func (w *watch) init(t *state.Tables) {
 	w.groups, w.memberOf = map[state.GroupID]*groupState{}, map[state.HostID]state.GroupID{}
 	w.dirty, w.due = t.Groups.Subscribe(), state.NewDueQueue[state.GroupID]()
-	w.changed, w.ageAt = true, -1
+	w.changed, w.ageAt, w.knownAt = true, -1, -1
+}
+
+// settle lets a node that has started watch once its peers had time to tell.
+func (s *System) settle(now time.Duration) {
+	w := &s.watch
+	if w.settled || !s.t.Config.Known {
+		return
+	}
+	if w.knownAt < 0 {
+		w.knownAt = now
+	}
+	if now-w.knownAt >= aloneAfter {
+		w.settled, w.changed = true, true
+	}
 }
 
 // followGroups takes changes of the group rows.
@@ -69,8 +93,7 @@
 			continue
 		}
 		if g == nil {
-			g = &groupState{id: id, votes: map[state.NodeID]*vote{}}
-			w.groups[id] = g
+			g = s.group(now, id)
 			w.again = append(w.again, id)
 		}
 		if slices.Equal(g.members, row.Members) && g.loadedFence == row.Fence {
@@ -146,7 +169,7 @@
 	self := false
 	for _, n := range s.t.Config.Head.Nodes {
 		if n.ID == s.t.Self.ID {
-			self = !s.t.Draining
+			self = !s.t.Draining && s.watch.settled
 			continue
 		}
 		if p := s.t.Peers.Get(n.ID); p != nil && s.isLive(now, p) {
--- a/pkg/core/state/message.go
+++ b/pkg/core/state/message.go
@@ -63,6 +63,15 @@
 	// Blind lists the data centres of which the sender reaches less than half
 	// of the hosts that it probes.
 	Blind []DataCentre `cbor:"13,keyasint,omitempty"`
+	// NotReady lists the members that a node has seen before they were ready in
+	// their incarnation, as far as that changed and no verdict rests on it yet.
+	NotReady []HostSeen `cbor:"14,keyasint,omitempty"`
+}
+
+// HostSeen is a host in one incarnation.
+type HostSeen struct {
+	Host        HostID      `cbor:"1,keyasint"`
+	Incarnation Incarnation `cbor:"2,keyasint"`
 }
 
 // Verdict is a watcher's word on a replica group. A negative age takes it
