--- a/pkg/command/command_test.go
+++ b/pkg/command/command_test.go
@@ -5,17 +5,20 @@
 	"context"
 	"encoding/json"
 	"flag"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
 	"github.com/onsi/gomega"
 
 	"github.com/apricotgrade/apricotgrade/pkg/apierror"
+	"github.com/apricotgrade/apricotgrade/pkg/bench"
 	"github.com/apricotgrade/apricotgrade/pkg/command"
 	"github.com/apricotgrade/apricotgrade/pkg/operator"
 )
@@ -156,3 +159,40 @@
 	g.Expect(code).To(gomega.Equal(command.ExitOK))
 	g.Expect(seen).To(gomega.Equal("Bearer secret"))
 }
+
+// TestExitCodeDocumentation guards against a page whose exit codes differ from
+// those of the program.
+func TestExitCodeDocumentation(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "operations.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for code, words := range map[int]string{
+		command.ExitOK: "Done", command.ExitFailure: "Failed", command.ExitUsage: "Wrong arguments",
+		command.ExitInvalid: "declarations have faults", command.ExitRefused: "server refused",
+		command.ExitUnknown: "outcome is unknown", command.ExitNotInForce: "not known to be in force",
+		command.ExitUnreachable: "No server was reached",
+	} {
+		row := regexp.MustCompile(fmt.Sprintf(`(?m)^\| %d \| (.*) \|$`, code)).FindSubmatch(page)
+		if row == nil || !strings.Contains(string(row[1]), words) {
+			t.Errorf("docs/operations.md has no row of exit code %d with %q", code, words)
+		}
+	}
+}
+
+// TestBench guards against a measurement that the command line does not offer.
+func TestBench(t *testing.T) {
+	g := gomega.NewWithT(t)
+	code, out, _ := run(t, "", "bench")
+	g.Expect(code).To(gomega.Equal(command.ExitOK))
+	for _, b := range bench.All() {
+		g.Expect(out).To(gomega.ContainSubstring(b.Name))
+	}
+	code, _, text := run(t, "", "bench", "none")
+	g.Expect(code).To(gomega.Equal(command.ExitFailure))
+	for _, b := range bench.All() {
+		g.Expect(text).To(gomega.MatchRegexp("name one of: .*\\b" + b.Name + "\\b"))
+	}
+	code, _, _ = run(t, "", "bench", "slopes", "--json")
+	g.Expect(code).To(gomega.Equal(command.ExitFailure))
+}
--- a/pkg/command/declare.go
+++ b/pkg/command/declare.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/apricotgrade/apricotgrade/pkg/declaration"
+	"github.com/apricotgrade/apricotgrade/pkg/operator"
 )
 
 // defaultWait covers the time in which a change is in force everywhere, with
@@ -80,7 +81,11 @@
 		fprintf(out, "no changes to version %d\n", base)
 		return
 	}
-	fprintf(out, "%d changes to version %d:\n%s\n", len(changes), base, changes)
+	noun := "changes"
+	if len(changes) == 1 {
+		noun = "change"
+	}
+	fprintf(out, "%d %s to version %d:\n%s\n", len(changes), noun, base, changes)
 }
 
 func newApply() *Command {
@@ -112,8 +117,9 @@
 			if base == 0 {
 				base = plan.Base
 			}
-			reply, err := e.client.Apply(ctx, text, base)
-			return settle(ctx, e, wait, reply, err)
+			return settle(ctx, e, wait, func(ctx context.Context) (operator.ChangeReply, error) {
+				return e.client.Apply(ctx, text, base)
+			})
 		},
 	}
 }
