Relay notices of group rows to two peers instead of all

Cause: nodes keep links to all others, and each node passed a new group row on to all of them, which is the square of the number of nodes for each change: about 100,000 messages of some 300 bytes at 320 nodes.

The holder still sends its change to all its peers; a node that learns of it passes it on to two. The scan of the rows covers what both miss. The spec with 60 nodes bounds the messages of two changes; before, they were about 7,000 by count of the links, not measured.

--- a/pkg/core/placement/change.go
+++ b/pkg/core/placement/change.go
@@ -116,7 +116,7 @@
 	}
 	out.Log(ch.event, slog.String("group", string(ch.group)), slog.String("data_centre", string(c.dc)),
 		slog.String("domain", string(g.row.Domain)), slog.Uint64("fence", uint64(g.row.Fence)))
-	s.announce(ch.group, "", out)
+	s.announce(ch.group, out)
 	if c.tenure == nil {
 		return
 	}
--- a/pkg/core/placement/group_test.go
+++ b/pkg/core/placement/group_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -57,6 +58,24 @@
 		Expect(r.group("s2").Domain).To(BeEquivalentTo("a"))
 	})
 
+	It("are announced with messages that grow with the nodes, not with their square", func() {
+		// Guards against a flood: each node keeps links to all others.
+		var many []state.NodeEntry
+		for i := range 60 {
+			many = append(many, entries("north", state.NodeID(fmt.Sprintf("n%02d", i)))...)
+		}
+		r = newRig(many...)
+		r.addHosts("north", "a", 3)
+		r.configure(document(spec("g1", "north", 3)))
+		r.until(20*time.Second, "serving", func() bool { return r.serving("g1") })
+		r.run(100 * time.Millisecond)
+		for _, n := range r.nodes {
+			Expect(n.t.Groups.Get("g1").Phase).To(Equal(state.GroupServing))
+		}
+		// Two changes: formed and loaded.
+		Expect(r.messages).To(BeNumerically("<=", 2*3*60))
+	})
+
 	It("are known to nodes without a link to the holder", func() {
 		// Guards against a change that reaches only the holder's own peers.
 		two()
--- a/pkg/core/placement/rig_test.go
+++ b/pkg/core/placement/rig_test.go
@@ -56,6 +56,7 @@
 	fate     func(n *node, req state.StoreRequest) fate
 	writes   int
 	reads    int
+	messages int
 }
 
 type timed struct {
@@ -313,6 +314,7 @@
 			n.feed(res)
 		})
 	case state.SendPeer:
+		r.messages++
 		for _, p := range r.nodes {
 			if p.id == o.To {
 				r.after(time.Millisecond, func() { p.feed(state.PeerMessage{From: n.id, Message: o.Message}) })
--- a/pkg/core/placement/rows.go
+++ b/pkg/core/placement/rows.go
@@ -291,17 +291,43 @@
 		return
 	}
 	s.setGroup(now, s.group(n.Group), n.Row, n.Revision)
-	s.announce(n.Group, from, out)
+	s.relay(n.Group, from, out)
 }
 
-// announce passes a group row on to all linked peers but one.
-func (s *System) announce(id state.GroupID, but state.NodeID, out *state.Outbox) {
-	g := s.groups[id]
+// announce passes a group row on to all linked peers. The holder does so once
+// for each of its changes.
+func (s *System) announce(id state.GroupID, out *state.Outbox) {
 	for peer, row := range s.t.Peers.All() {
-		if row.Linked && peer != but {
-			out.Add(state.SendPeer{To: peer, Message: state.Message{
-				GroupNotice: &state.GroupNotice{Group: id, Revision: g.revision, Row: g.row},
-			}})
+		if row.Linked {
+			s.notify(peer, id, out)
 		}
 	}
 }
+
+// relayPeers is the number of peers to which a node passes on a notice. They
+// reach the nodes that have no link to the holder. It is small because nodes
+// keep links to all others: passing on to all of them would send the square of
+// the number of nodes for each change.
+const relayPeers = 2
+
+// relay passes a group row on to a few linked peers other than its sender.
+func (s *System) relay(id state.GroupID, from state.NodeID, out *state.Outbox) {
+	var linked []state.NodeID
+	for peer, row := range s.t.Peers.All() {
+		if row.Linked && peer != from {
+			linked = append(linked, peer)
+		}
+	}
+	for i := range min(relayPeers, len(linked)) {
+		j := i + s.t.Rand.IntN(len(linked)-i)
+		linked[i], linked[j] = linked[j], linked[i]
+		s.notify(linked[i], id, out)
+	}
+}
+
+func (s *System) notify(peer state.NodeID, id state.GroupID, out *state.Outbox) {
+	g := s.groups[id]
+	out.Add(state.SendPeer{To: peer, Message: state.Message{
+		GroupNotice: &state.GroupNotice{Group: id, Revision: g.revision, Row: g.row},
+	}})
+}
