--- a/pkg/core/claims_test.go
+++ b/pkg/core/claims_test.go
@@ -27,7 +27,9 @@
 	}
 }
 
-func broken(w *world, target state.TargetID, executed bool) {
+// broken breaks the connection of each attempt at the order service.
+func broken(w *world, executed bool) {
+	const target = "orders/a"
 	w.targets[target].fail = func(s state.StartAttempt) *state.AttemptEvent {
 		if executed {
 			w.targets[target].executions["granite:k"]++
@@ -245,7 +247,7 @@
 
 	// Guards against a repeat of a request that broke after it was executed.
 	It("settles a broken connection by the lookup", func() {
-		broken(w, "orders/a", true)
+		broken(w, true)
 		id := w.send(w.nodes[0], order("k", "x"))
 		w.run(time.Second)
 		Expect(outcome(id)).To(Equal(apierror.Done))
@@ -259,7 +261,7 @@
 		other.Account = "pilbara"
 		w.send(w.nodes[1], other)
 		w.run(time.Second)
-		broken(w, "orders/a", false)
+		broken(w, false)
 		id := w.send(w.nodes[0], order("k", "x"))
 		w.run(30 * time.Second)
 		Expect(outcome(id)).To(Equal(apierror.Unknown))
@@ -271,7 +273,7 @@
 			w = newWorld(2, s, orderDoc("/orders/{key}"))
 			w.run(2 * time.Second)
 			if breaks {
-				broken(w, "orders/a", true)
+				broken(w, true)
 			}
 			for _, n := range w.nodes {
 				w.send(n, order("k", "x"))
--- a/pkg/core/retry_test.go
+++ b/pkg/core/retry_test.go
@@ -120,7 +120,7 @@
 		attempts := func(method string) int {
 			w := newWorld(1, state.Switches{}, orderDoc(""))
 			w.run(2 * time.Second)
-			broken(w, "orders/a", true)
+			broken(w, true)
 			w.send(w.nodes[0], state.RequestArrived{
 				Account: "granite", Kind: state.KindService, Service: "orders", Method: method, Path: "/stock", Cost: 1,
 			})
