Give each test process loopback addresses of its own

Cause: tests chose a free port by closing a listener on 127.0.0.1, and on a busy machine an outgoing connection took the port before the daemon listened there (TestNodeKilled: address already in use). Each test process now uses its own number of 127.0.0.0/8, which no outgoing connection binds.

--- a/pkg/command/command_test.go
+++ b/pkg/command/command_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"flag"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -17,6 +16,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/apricotgrade/apricotgrade/internal/freeport"
 	"github.com/apricotgrade/apricotgrade/pkg/apierror"
 	"github.com/apricotgrade/apricotgrade/pkg/bench"
 	"github.com/apricotgrade/apricotgrade/pkg/command"
@@ -126,10 +126,9 @@
 	g.Expect(code).To(gomega.Equal(command.ExitOK))
 	g.Expect(out).To(gomega.Equal("version 5 committed\n"))
 
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := freeport.Address()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	down := "http://" + listener.Addr().String()
-	_ = listener.Close()
+	down := "http://" + address
 	code, _, _ = run(t, "", "in", "north", "--key", "k", "--server", down)
 	g.Expect(code).To(gomega.Equal(command.ExitUnreachable))
 	code, _, _ = run(t, "", "status", "--key", "k", "--server", down, "--server", fake(t, nil))
--- a/pkg/operator/client_test.go
+++ b/pkg/operator/client_test.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -11,6 +10,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/apricotgrade/apricotgrade/internal/freeport"
 	"github.com/apricotgrade/apricotgrade/pkg/apierror"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 	"github.com/apricotgrade/apricotgrade/pkg/operator"
@@ -22,12 +22,11 @@
 // downURL returns the URL of a port on which nothing listens.
 func downURL(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := freeport.Address()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return "http://" + l.Addr().String()
+	return "http://" + address
 }
 
 // TestNextServer guards against a client that gives up when one entry host is
--- a/test/process/rig_test.go
+++ b/test/process/rig_test.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -24,6 +23,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/apricotgrade/apricotgrade/internal/freeport"
 	"github.com/apricotgrade/apricotgrade/internal/gozero"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 	"github.com/apricotgrade/apricotgrade/pkg/operator"
@@ -166,13 +166,12 @@
 
 var listens = regexp.MustCompile(`msg="node listens" callers=(\S+) peers=\S+ operators=(\S+)`)
 
-// freeAddress returns an address whose port the kernel chose. The listener of
-// peers needs it before it starts, since it is published.
+// freeAddress returns an address for the listener of peers, which is published
+// before it opens.
 func (r *rig) freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	a, err := freeport.Address()
 	r.Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return a
 }
 
 // start runs a daemon and waits until it is ready and serves model requests.
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -12,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/apricotgrade/apricotgrade/internal/freeport"
 )
 
 // installation is a set of processes with their addresses and settings.
@@ -32,13 +33,12 @@
 	if a, ok := in.addresses[name]; ok {
 		return a
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	a, err := freeport.Address()
 	if err != nil {
 		in.t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	in.addresses[name] = l.Addr().String()
-	return in.addresses[name]
+	in.addresses[name] = a
+	return a
 }
 
 // write writes a file in which <NAME> stands for the address with that name.
