Relay notices along the order of node ids

Cause: relaying to two random peers reaches most nodes but none for certain, and it drew from the node's generator, which changed unrelated choices. The two linked peers that follow in the order of ids reach every node while neighbours have a link.

Seen on the way: with the random relay, the random schedule of breached I5. Its trace shows the test environment, not the product: the end of an attempt that falls silent while its node is paused is recorded with the tokens passed on before the pause, and the tokens in the socket are passed on at the resume, before that event arrives.

--- a/pkg/core/placement/rows.go
+++ b/pkg/core/placement/rows.go
@@ -310,18 +310,21 @@
 // the number of nodes for each change.
 const relayPeers = 2
 
-// relay passes a group row on to a few linked peers other than its sender.
+// relay passes a group row on to the linked peers that follow this node in the
+// order of ids, so that each node is reached while neighbours have a link.
 func (s *System) relay(id state.GroupID, from state.NodeID, out *state.Outbox) {
-	var linked []state.NodeID
-	for peer, row := range s.t.Peers.All() {
-		if row.Linked && peer != from {
-			linked = append(linked, peer)
+	peers := s.t.Peers.Keys()
+	first, _ := slices.BinarySearch(peers, s.t.Self.ID)
+	sent := 0
+	for i := range peers {
+		peer := peers[(first+i)%len(peers)]
+		if peer == from || !s.t.Peers.Get(peer).Linked {
+			continue
+		}
+		s.notify(peer, id, out)
+		if sent++; sent == relayPeers {
+			return
 		}
-	}
-	for i := range min(relayPeers, len(linked)) {
-		j := i + s.t.Rand.IntN(len(linked)-i)
-		linked[i], linked[j] = linked[j], linked[i]
-		s.notify(linked[i], id, out)
 	}
 }
 
