--- /dev/null
+++ b/pkg/bench/latency/rig.go
@@ -0,0 +1,120 @@
+package latency
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	"github.com/apricotgrade/apricotgrade/pkg/node"
+	"github.com/apricotgrade/apricotgrade/pkg/platform/memory"
+	"github.com/apricotgrade/apricotgrade/pkg/settings"
+	"github.com/apricotgrade/apricotgrade/pkg/standin"
+)
+
+const (
+	// wide is a limit that no measurement reaches.
+	wide = 1 << 16
+	// readyTimeout bounds the start of the node and its replica group.
+	readyTimeout = 30 * time.Second
+	readyPoll    = 50 * time.Millisecond
+)
+
+// rig is an engine and an entry node in this process.
+type rig struct {
+	engineURL string
+	nodeURL   string
+	servers   []*httptest.Server
+	stop      context.CancelFunc
+	done      <-chan struct{}
+}
+
+func newRig(ctx context.Context, tokens int) (*rig, error) {
+	r := &rig{}
+	store := memory.New()
+	var hosts []state.ListedHost
+	for i, id := range []state.HostID{"h1", "h2"} {
+		e := standin.NewEngine(state.Incarnation(i + 1))
+		e.LoadTime, e.TokenTime, e.Tokens = 0, 0, tokens
+		s := httptest.NewServer(e.Handler())
+		r.servers = append(r.servers, s)
+		hosts = append(hosts, state.ListedHost{
+			ID: id, Address: strings.TrimPrefix(s.URL, "http://"), DataCentre: "north", Domain: "d1",
+		})
+	}
+	r.engineURL = r.servers[0].URL
+	store.SetHosts(hosts)
+	doc := standin.DemoDocument(1, "127.0.0.1:1")
+	doc.Groups[0].ColdLimit, doc.Groups[0].WarmLimit = wide, wide
+	if err := standin.Seed(ctx, store, doc); err != nil {
+		r.close()
+		return nil, err
+	}
+	cfg := settings.Node{
+		ID: "n1", DataCentre: "north", Listen: "127.0.0.1:0", Admin: "127.0.0.1:0", Peer: "127.0.0.1:0",
+		PeerKey: "latency", Drain: 0,
+	}
+	n, err := node.New(cfg, store, slog.New(slog.DiscardHandler))
+	if err != nil {
+		r.close()
+		return nil, err
+	}
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	r.stop, r.done, r.nodeURL = stop, n.Done(), "http://"+n.CallerAddress()
+	go n.Run(running)
+	return r, nil
+}
+
+// wait returns when the node serves requests.
+func (r *rig) wait(ctx context.Context, c *caller) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for {
+		_, err := c.call(ctx, r.nodeURL, plainBody)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(err, "the node does not become ready")
+		case <-time.After(readyPoll):
+		}
+	}
+}
+
+// fault sends a fault to the engines.
+func (r *rig) fault(body string) error {
+	for _, s := range r.servers {
+		res, err := http.Post(s.URL+"/control", "application/json", strings.NewReader(body))
+		if err != nil {
+			return errors.Wrap(err, "set the speed of the engine")
+		}
+		_ = res.Body.Close()
+	}
+	return nil
+}
+
+func (r *rig) close() {
+	if r.stop != nil {
+		r.stop()
+		<-r.done
+	}
+	for _, s := range r.servers {
+		s.CloseClientConnections()
+		s.Close()
+	}
+}
+
+// newClient returns a client whose pool keeps a connection per caller.
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:        (&net.Dialer{Timeout: time.Second}).DialContext,
+		DisableCompression: true, MaxIdleConnsPerHost: wide,
+	}}
+}
--- a/test/process/process_test.go
+++ b/test/process/process_test.go
@@ -60,7 +60,7 @@
 // TestSilentConnectionInStream guards against an answer with missing or
 // repeated text after a connection to an engine went silent.
 func TestSilentConnectionInStream(t *testing.T) {
-	r := newRig(t, 1, nil)
+	r := newRig(t, 2, nil)
 	p := r.start("n1")
 	r.fault(`{"action":"silent","after":7}`, r.hosts...)
 	r.expectWhole(p.chat(`,"stream":true`), 20)
