--- a/pkg/core/claims_test.go
+++ b/pkg/core/claims_test.go
@@ -116,6 +116,27 @@
 		Expect(executions()).To(Equal(0))
 	})
 
+	// Guards against orders that wait one after another for a table service that
+	// answers nothing, and against one that stays refused after it is back.
+	It("refuses at once while the table service is silent", func() {
+		w.storeSilence = 2 * time.Second
+		for _, key := range []string{"a", "b", "c"} {
+			w.send(w.nodes[0], order(key, "x"))
+		}
+		w.run(2100 * time.Millisecond)
+		w.send(w.nodes[0], order("probe", "x"))
+		id := w.send(w.nodes[0], order("k", "x"))
+		Expect(w.replies[id].Refusal.Kind).To(Equal(apierror.KindStoreDown))
+		Expect(outcome(id)).To(Equal(apierror.NotRun))
+		w.storeSilence = 0
+		w.run(time.Minute)
+		again := w.send(w.nodes[0], order("k", "x"))
+		w.run(time.Second)
+		Expect(outcome(again)).To(Equal(apierror.Done))
+		Expect(executions()).To(Equal(1))
+		Expect(storedPhase(w, "a")).To(Equal(state.ClaimDone), "its insert was repeated in time")
+	})
+
 	// Guards against a repeat that executes again after its holder died.
 	It("never sends again after the holder died", func() {
 		w.targets["orders/a"].serve = time.Hour
@@ -169,10 +190,16 @@
 		}
 		w.send(w.nodes[0], order("k", "x"))
 		w.run(time.Second)
+		Expect(w.nodes[0].t.Claims.Get(state.KeyClaim("granite", "k")).Row.Answer).To(BeNil())
+		here := w.send(w.nodes[0], order("k", "x"))
+		w.run(time.Second)
 		w.kill(w.nodes[0])
-		id := w.send(w.nodes[1], order("k", "x"))
+		elsewhere := w.send(w.nodes[1], order("k", "x"))
 		w.run(time.Second)
-		Expect(w.replies[id].Answer.Body).To(HaveLen(300 << 10))
+		for _, id := range []state.RequestID{here, elsewhere} {
+			Expect(w.replies[id].Answer.Body).To(HaveLen(300 << 10))
+			Expect(w.replies[id].Repeated).To(BeTrue())
+		}
 		Expect(w.nodes[1].starts).To(BeEmpty())
 	})
 
@@ -197,6 +224,7 @@
 		w.run(time.Second)
 		Expect(outcome(other)).To(Equal(apierror.Done))
 		Expect(storedPhase(w, "k2")).To(Equal(state.ClaimDone))
+		Expect(state.KeyClaim("a/b", "c")).NotTo(Equal(state.KeyClaim("a", "b/c")))
 	})
 
 	// Guards against a key that stays blocked although no byte left.
--- a/pkg/core/routing/filter.go
+++ b/pkg/core/routing/filter.go
@@ -55,14 +55,13 @@
 	}
 }
 
-// holds reports whether the place of the request's last attempt is still held
-// at a target.
-func (s *System) holds(tr *track, req *state.Request) bool { return s.held[req.Arrival.ID] == tr }
-
 // fits reports whether a target can take the request now.
 func (s *System) fits(now time.Duration, tr *track, req *state.Request) bool {
 	row := tr.row
-	if row.Idle || row.Leaving || row.Address == "" || !s.holds(tr, req) && !s.hasRoom(tr) || !s.matches(row, req) {
+	if row.Idle || row.Leaving || row.Address == "" || !s.matches(row, req) {
+		return false
+	}
+	if s.held[req.Arrival.ID] != tr && !s.hasRoom(tr) {
 		return false
 	}
 	if row.Group != "" && !s.t.Switches.IgnoreWholeness {
@@ -74,6 +73,10 @@
 			row.Suspect = false
 		}
 	}
+	if !s.isChecked(now, tr) {
+		s.watch(now, tr)
+		return false
+	}
 	// A resume is itself the test of a suspect target: it uses a new connection.
 	_, bound := boundTo(req)
 	return !row.Suspect || bound
