--- a/pkg/bench/registry.go
+++ b/pkg/bench/registry.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 
 	"github.com/pkg/errors"
 
 	"github.com/apricotgrade/apricotgrade/pkg/bench/decisions"
+	"github.com/apricotgrade/apricotgrade/pkg/bench/latency"
 	"github.com/apricotgrade/apricotgrade/pkg/bench/slopes"
 )
 
@@ -36,6 +38,7 @@
 func All() []Bench {
 	return []Bench{
 		{Name: "decisions", Synopsis: "each decision against its simplest baseline, in virtual time", Run: runDecisions},
+		{Name: "latency", Synopsis: "time, memory and processor time that an entry node adds to a direct call", Run: runLatency},
 		{Name: "slopes", Synopsis: "control cost of a node against nodes, groups, members, accounts and changes; [PLOT.png]", Run: runSlopes},
 	}
 }
@@ -47,6 +50,17 @@
 	return decisions.Run(o.Out, decisions.Options{Seed: o.Seed})
 }
 
+func runLatency(ctx context.Context, o Options) error {
+	report, err := latency.Measure(ctx, latency.Options{})
+	if err != nil {
+		return err
+	}
+	if o.JSON {
+		return errors.Wrap(json.NewEncoder(o.Out).Encode(report), "write figures")
+	}
+	return report.Write(o.Out)
+}
+
 func runSlopes(_ context.Context, o Options) error {
 	plot := ""
 	switch {
