--- a/pkg/scenario/action.go
+++ b/pkg/scenario/action.go
@@ -46,6 +46,8 @@
 		w.Network.CutOneWay(args[0], args[1])
 		return nil
 	}},
+	"delay":   {3, delay},
+	"late":    {2, late},
 	"heal":    {0, heal},
 	"isolate": {1, func(w *World, args []string) error { w.Isolate(state.DataCentre(args[0])); return nil }},
 	"silence": {1, silence},
@@ -147,6 +149,23 @@
 	return nil
 }
 
+func delay(w *World, args []string) error {
+	d, err := time.ParseDuration(args[2])
+	w.Network.Delay(args[0], args[1], d)
+	return err
+}
+
+// late holds back what comes over the present connections of a node.
+func late(w *World, args []string) error {
+	n := w.Node(state.NodeID(args[0]))
+	d, err := time.ParseDuration(args[1])
+	if n == nil || err != nil {
+		return ErrUsage
+	}
+	w.LateConnections(n, d)
+	return nil
+}
+
 func heal(w *World, args []string) error {
 	w.Log("heal %v", args)
 	if len(args) == 2 {
--- a/pkg/scenario/attempt.go
+++ b/pkg/scenario/attempt.go
@@ -257,8 +257,37 @@
 		if a.generation != nil {
 			a.deliver()
 		}
-		a.silent = true
-		w.After(inactivity, func() { a.end(state.FailureSilent, apierror.Unknown) })
+		a.fallSilent()
+	}
+}
+
+func (a *attempt) fallSilent() {
+	a.silent = true
+	a.world.After(inactivity, func() { a.end(state.FailureSilent, apierror.Unknown) })
+}
+
+// LateConnections holds back what comes over the present connections between a
+// node and its targets. The ends of generations arrive after the delay, whether
+// their attempt is still the present one or not.
+func (w *World) LateConnections(n *Node, d time.Duration) {
+	w.Log("late %s %v", n.ID, d)
+	for _, r := range w.order {
+		a := r.attempt
+		if a == nil || a.done || a.silent || a.node != n || a.generation == nil {
+			continue
+		}
+		a.deliver()
+		a.fallSilent()
+		w.After(d, func() {
+			if a.generation.broken || a.generation.endsAt() > w.Now {
+				return
+			}
+			w.Log("late end of attempt %d of %s", a.start.Attempt, a.start.Request)
+			a.feed(state.AttemptEvent{
+				Request: a.start.Request, Attempt: a.start.Attempt, Stage: state.AttemptEnded,
+				Outcome: apierror.Done, Generation: a.generation.id, Offset: answerTokens, PassedOn: true,
+			})
+		})
 	}
 }
 
--- a/pkg/scenario/engine.go
+++ b/pkg/scenario/engine.go
@@ -230,9 +230,12 @@
 		return
 	}
 	way := w.delay(n.DataCentre, e.Host.DataCentre)
-	life := n.Starts
-	w.After(way, func() {
-		res := e.take(o)
+	life, late := n.Starts, w.Network.lateness(string(n.ID), string(o.Host))
+	w.After(way+late, func() {
+		res := state.EngineOrderResult{}
+		if late < o.Expiry && e.Alive && !e.Paused {
+			res = e.take(o)
+		}
 		res.Order, res.Host = o.Order, o.Host
 		if n.Starts != life {
 			return
--- a/pkg/scenario/network.go
+++ b/pkg/scenario/network.go
@@ -26,9 +26,19 @@
 	cuts map[[2]string]bool
 	// Extra delays every message, as a slow network does.
 	Extra time.Duration
+	// late delays what goes from one endpoint to another.
+	late map[[2]string]time.Duration
 }
 
-func newNetwork() *Network { return &Network{cuts: map[[2]string]bool{}} }
+func newNetwork() *Network {
+	return &Network{cuts: map[[2]string]bool{}, late: map[[2]string]time.Duration{}}
+}
+
+// Delay delays messages of nodes to nodes and orders of nodes to hosts that are
+// sent from now on. Zero ends the delay.
+func (n *Network) Delay(from, to string, d time.Duration) { n.late[[2]string{from, to}] = d }
+
+func (n *Network) lateness(from, to string) time.Duration { return n.late[[2]string{from, to}] }
 
 // CutOneWay drops what goes from one endpoint to another.
 func (n *Network) CutOneWay(from, to string) { n.cuts[[2]string{from, to}] = true }
@@ -39,8 +49,11 @@
 	n.CutOneWay(b, a)
 }
 
-// Heal ends all cuts.
-func (n *Network) Heal() { clear(n.cuts) }
+// Heal ends all cuts and delays.
+func (n *Network) Heal() {
+	clear(n.cuts)
+	clear(n.late)
+}
 
 // HealBetween ends the cuts between two endpoints.
 func (n *Network) HealBetween(a, b string) {
--- a/pkg/scenario/node.go
+++ b/pkg/scenario/node.go
@@ -219,7 +219,8 @@
 	if peer == nil || !n.links[out.To] || !w.Network.Passes(string(n.ID), string(out.To)) {
 		return
 	}
-	peer.later(w.delay(n.DataCentre, peer.DataCentre), state.PeerMessage{From: n.ID, Message: out.Message})
+	way := w.delay(n.DataCentre, peer.DataCentre) + w.Network.lateness(string(n.ID), string(peer.ID))
+	peer.later(way, state.PeerMessage{From: n.ID, Message: out.Message})
 }
 
 // Operate gives a change of an operator and calls back with the reply.
