Let a node that starts in a platform outage ask a peer for group rows

Staying unready was ruled out, because plain services need no group rows.

Until its first scan of the group rows has succeeded, a node now asks one linked peer for them after each failed scan, at most every 2 s. A row with its revision does not expire, so passing it on extends no deadline.

--- a/pkg/core/placement/placement.go
+++ b/pkg/core/placement/placement.go
@@ -38,6 +38,9 @@
 	groupScan scan
 	hostScan  scan
 	lastOrder uint64
+	// groupsRead is set once a scan of the group rows has succeeded.
+	groupsRead bool
+	nextAsk    time.Duration
 }
 
 // New returns the placement system.
@@ -71,6 +74,9 @@
 		if n := in.Message.GroupNotice; n != nil {
 			s.noticed(now, in.From, n, out)
 		}
+		if in.Message.GroupRequest != nil {
+			s.answerPeer(in.From, out)
+		}
 	case state.ProbeResult:
 		s.probed(in)
 	case state.EngineOrderResult:
@@ -173,6 +179,7 @@
 				// A holder can do nothing without the rows, so that it does not
 				// wait for the period.
 				sc.next = now + retryDelay
+				s.askPeer(now, out)
 				return
 			}
 			s.scanned(now, sc, reply.Rows, out)
--- a/pkg/core/placement/rows.go
+++ b/pkg/core/placement/rows.go
@@ -130,6 +130,7 @@
 			}
 		}
 	case state.PrefixGroup:
+		s.groupsRead = true
 		for _, g := range s.groups {
 			if _, ok := present[state.KeyGroup(g.id)]; !ok && g.touchedAt < sc.sentAt {
 				s.dropGroup(g)
--- a/pkg/core/state/message.go
+++ b/pkg/core/state/message.go
@@ -18,8 +18,13 @@
 	OutcomeQuery   *OutcomeQuery   `cbor:"8,keyasint,omitempty"`
 	OutcomeAnswer  *OutcomeAnswer  `cbor:"9,keyasint,omitempty"`
 	GroupNotice    *GroupNotice    `cbor:"10,keyasint,omitempty"`
+	GroupRequest   *GroupRequest   `cbor:"11,keyasint,omitempty"`
 }
 
+// GroupRequest asks for a GroupNotice of each replica group that the peer
+// knows.
+type GroupRequest struct{}
+
 // GroupNotice passes on the row of a replica group that changed, with its
 // revision in the table service, so that nodes need no scan to see the change.
 // A node that holds this revision or a later one ignores it.
