--- a/pkg/core/controltest/configuration_test.go
+++ b/pkg/core/controltest/configuration_test.go
@@ -227,6 +227,20 @@
 		safe(c)
 	})
 
+	// Guards against evidence from the table service that is dated by its
+	// arrival: the head may have changed since it was read.
+	ginkgo.It("dates evidence of a slow store by the send time of the read", func() {
+		c := started(2)
+		c.kill("n2")
+		c.storeDelay = 1200 * time.Millisecond
+		c.run(5 * time.Second)
+		n := c.nodes["n1"]
+		for range 100 {
+			c.run(50 * time.Millisecond)
+			gomega.Expect(n.clock() - n.t.Config.EvidenceAt).To(gomega.BeNumerically(">=", c.storeDelay))
+		}
+	})
+
 	// Guards against gaps in the evidence when the store is slow.
 	ginkgo.It("stays fresh by head reads that take 1.2 s", func() {
 		c := started(1)
