Test the age of verdicts and suspect targets at the router

Two mutations of the filter broke no test: verdicts of any age count, and a target that refused a connection is used before a later verdict. Membership withdraws an expired verdict itself, which hid the first. The new specs hold the verdicts back; both mutations now fail.

--- a/pkg/core/routing_test.go
+++ b/pkg/core/routing_test.go
@@ -304,6 +304,42 @@
 		Expect(w.targets["g3"].peak).To(BeNumerically("<", 15))
 	})
 
+	// Guards against a request to a group whose last verdict has expired while
+	// its row still says that it is whole.
+	It("sends nothing on a verdict that is too old", func() {
+		begin(1, state.Switches{}, draftDoc(1, 100, 100))
+		w.send(w.nodes[0], draft())
+		w.run(time.Second)
+		Expect(w.nodes[0].starts).To(HaveLen(1))
+		w.noVerdicts = true
+		w.run(2 * time.Second)
+		w.send(w.nodes[0], draft())
+		w.run(time.Second)
+		Expect(w.nodes[0].starts).To(HaveLen(1))
+		w.noVerdicts = false
+		w.run(time.Second)
+		Expect(w.nodes[0].starts).To(HaveLen(2))
+	})
+
+	// Guards against a request to a target that has just refused a connection
+	// while its last verdict still counts.
+	It("sends nothing to a suspect target until a later verdict", func() {
+		begin(1, state.Switches{}, draftDoc(1, 100, 100))
+		w.run(time.Second)
+		w.noVerdicts = true
+		w.targets["g1"].fail = failing(unreachable)
+		w.send(w.nodes[0], draft())
+		w.run(200 * time.Millisecond)
+		sent := len(w.nodes[0].starts)
+		w.targets["g1"].fail = nil
+		w.send(w.nodes[0], draft())
+		w.run(500 * time.Millisecond)
+		Expect(w.nodes[0].starts).To(HaveLen(sent))
+		w.noVerdicts = false
+		w.run(time.Second)
+		Expect(len(w.nodes[0].starts)).To(BeNumerically(">", sent))
+	})
+
 	// Guards against control traffic to targets that a node does not use.
 	It("asks only targets in use for their load, each second", func() {
 		begin(1, state.Switches{}, draftDoc(20, 100, 100))
--- a/pkg/core/world_test.go
+++ b/pkg/core/world_test.go
@@ -27,10 +27,13 @@
 // world drives the request systems of several nodes in virtual time against a
 // table service and targets that live in the test.
 type world struct {
-	now     time.Duration
-	seq     uint64
-	events  eventHeap
-	nodes   []*fakeNode
+	now    time.Duration
+	seq    uint64
+	events eventHeap
+	nodes  []*fakeNode
+	// noVerdicts lets the verdicts on groups grow old.
+	noVerdicts bool
+
 	targets map[state.TargetID]*fakeTarget
 	store   *memory.Store
 	// storeDown answers all store requests with "no effect"; loseReplies loses
@@ -168,6 +171,9 @@
 		return
 	}
 	for _, g := range n.t.Groups.All() {
+		if n.w.noVerdicts {
+			break
+		}
 		g.WholeAt = n.w.now
 		n.t.Groups.Touch(g.ID)
 	}
