Count what the slopes of control cost left out

Cause: the header of every frame between nodes counted as 8 bytes, pings were not counted at all, reads of the list of hosts counted as table reads, and probes and load requests were not counted, although their sockets are what they cost. Nodes were measured 15 s after the start, while each of them still heard of new peers: it polls one more in each 250 ms, so that 320 nodes take 80 s. The slopes varied one quantity at a time and did not show what grows with the product of nodes and replicas.

The size of a header now follows RFC 6455, the start lasts until each node has polled all others, and two slopes are new: parts of the design scale, and an outage of the platform.

The data path is measured over loopback with a real daemon and engine stand-ins in one process, with the daemon and without it; the difference is the daemon's part. Ruled out: child processes, and profiles, which leave the kernel out.

--- a/pkg/bench/slopes/cluster.go
+++ b/pkg/bench/slopes/cluster.go
@@ -20,14 +20,14 @@
 	// peerDelay is the one-way latency between nodes.
 	peerDelay = 500 * time.Microsecond
 	// storeDelay is the time of an operation of the table service.
-	storeDelay  = 5 * time.Millisecond
+	storeDelay = 5 * time.Millisecond
+	// pingPeriod is the period of pings on a link, as pkg/peer has it.
+	pingPeriod  = time.Second
 	probeDelay  = time.Millisecond
 	loadTime    = time.Second
 	dataCentres = 7
 	// domainHosts is the number of hosts of a fabric domain.
 	domainHosts = 32
-	// frameOverhead is the header of a masked WebSocket frame of this size.
-	frameOverhead = 8
 	// requestsPerNode is the rate of the design scale: 8,300 requests a second
 	// over 320 nodes.
 	requestsPerNode = 26
@@ -50,6 +50,8 @@
 	list    []state.ListedHost
 	doc     state.Document
 	version state.Version
+	// down is set while the platform does not answer.
+	down bool
 	// meter counts what the measured window costs.
 	meter meter
 }
@@ -59,6 +61,9 @@
 	id      state.NodeID
 	core    *core.Node
 	arrived int
+	// links are the other nodes with a smaller and with a greater id to which
+	// this node keeps a link. The node with the smaller id dials.
+	accepted, dialled int
 }
 
 type engine struct {
@@ -71,9 +76,15 @@
 	// inNodes is the time in cores and codecs; all else is the cost of fakes.
 	inNodes    time.Duration
 	peerBytes  int64
-	reads      int64
-	writes     int64
-	tableBytes int64
+	peerFrames int64
+	// largestFrame is the greatest number of bytes in one frame.
+	largestFrame int64
+	reads        int64
+	writes       int64
+	tableBytes   int64
+	hostLists    int64
+	probes       int64
+	loads        int64
 }
 
 type timed struct {
--- a/pkg/bench/slopes/measure.go
+++ b/pkg/bench/slopes/measure.go
@@ -9,6 +9,9 @@
 	"github.com/pkg/errors"
 )
 
+// outageStart is the part of an outage in which evidence of the platform lasts.
+const outageStart = 3 * time.Second
+
 // measure returns the cost of one node under a load.
 func (o Options) measure(l Load) (Point, error) {
 	if l.Nodes < 1 || l.Replicas < 1 || l.Members < 1 || l.Members > domainHosts || l.Accounts < 1 || l.ChangesPerDay < 0 {
@@ -21,10 +24,15 @@
 	}
 	before := heapInUse()
 	c.start()
-	c.run(o.Warmup)
+	c.run(o.warmup(l))
+	c.down = l.Outage
+	if l.Outage {
+		c.run(outageStart)
+	}
 	c.meter = meter{}
 	cpu, wall := processCPU(), time.Now()
 	c.run(o.Window)
+	c.down = false
 	cpu, took := processCPU()-cpu, time.Since(wall)
 	p := Point{Load: l, Serving: c.serving(), Wall: time.Since(began)}
 	// The fakes run in the same process. Their part of its processor time, the
@@ -35,10 +43,18 @@
 	p.Cost = Cost{
 		CPU:        100 * cpu.Seconds() * share * perNode,
 		PeerBytes:  float64(c.meter.peerBytes) * perNode,
+		PeerFrames: float64(c.meter.peerFrames) * perNode,
 		Reads:      float64(c.meter.reads) * perNode,
 		Writes:     float64(c.meter.writes) * perNode,
+		HostLists:  float64(c.meter.hostLists) * perNode,
 		TableBytes: float64(c.meter.tableBytes) * perNode,
+		Probes:     float64(c.meter.probes) * perNode,
+		Loads:      float64(c.meter.loads) * perNode,
+	}
+	for _, n := range c.nodes {
+		p.Cost.PingBytes += n.pingBytes() / float64(l.Nodes)
 	}
+	p.LargestFrame = c.meter.largestFrame
 	// Rows of the fake store and events in flight are counted to the nodes.
 	p.Cost.Memory = float64(heapInUse()-before) / float64(l.Nodes) / (1 << 20)
 	runtime.KeepAlive(c)
--- a/pkg/bench/slopes/node.go
+++ b/pkg/bench/slopes/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -45,9 +46,12 @@
 		n.send(out)
 	case state.StoreRequest:
 		n.useStore(out)
+	case state.SetPeers:
+		n.setPeers(out.Peers)
 	case state.FetchHosts:
 		c.after(storeDelay, n.listHosts)
 	case state.Probe:
+		c.meter.probes++
 		c.after(probeDelay, func() {
 			e := c.engines[state.HostID(out.Address)]
 			answer := e.answer
@@ -55,6 +59,7 @@
 			n.feed(state.ProbeResult{Host: out.Host, SentAt: out.SentAt, OK: true, Answer: answer})
 		})
 	case state.FetchLoad:
+		c.meter.loads++
 		c.after(probeDelay, func() {
 			n.feed(state.LoadReport{Target: out.Target, SentAt: out.SentAt, OK: true, Answer: c.engines[state.HostID(out.Address)].load})
 		})
@@ -70,7 +75,10 @@
 	c, to := n.c, n.c.byID[out.To]
 	var frame []byte
 	c.inNode(func() { frame = encodeFrame(out.Message) })
-	c.meter.peerBytes += int64(len(frame) + frameOverhead)
+	size := int64(len(frame) + frameHeader(len(frame), n.id < out.To))
+	c.meter.peerBytes += size
+	c.meter.peerFrames++
+	c.meter.largestFrame = max(c.meter.largestFrame, size)
 	c.after(peerDelay, func() {
 		var m state.Message
 		var err error
@@ -81,6 +89,39 @@
 	})
 }
 
+func (n *node) setPeers(peers []state.NodeEntry) {
+	n.accepted, n.dialled = 0, 0
+	for _, p := range peers {
+		if p.ID < n.id {
+			n.accepted++
+		} else {
+			n.dialled++
+		}
+	}
+}
+
+// pingBytes returns the bytes a second of the pings that a node sends on its
+// links and of the pongs with which it answers those of its peers.
+func (n *node) pingBytes() float64 {
+	return 2 / pingPeriod.Seconds() * float64(n.accepted*frameHeader(0, false)+n.dialled*frameHeader(0, true))
+}
+
+// frameHeader returns the size of the header of a WebSocket frame (RFC 6455,
+// section 5.2). Only the node that dialled masks its frames.
+func frameHeader(payload int, masked bool) int {
+	size := 2
+	switch {
+	case payload > math.MaxUint16:
+		size += 8
+	case payload > 125:
+		size += 2
+	}
+	if masked {
+		size += 4
+	}
+	return size
+}
+
 // useStore carries out a store request, with the encoding of the platform's
 // client.
 func (n *node) useStore(req state.StoreRequest) {
@@ -108,6 +149,10 @@
 func (c *cluster) execute(req state.StoreRequest) state.StoreReply {
 	ctx := context.Background()
 	reply := state.StoreReply{ID: req.ID}
+	if c.down {
+		reply.Result = state.StoreUnavailable
+		return reply
+	}
 	switch {
 	case req.Transact != nil:
 		c.meter.writes++
@@ -129,7 +174,10 @@
 
 func (n *node) listHosts() {
 	c := n.c
-	c.meter.reads++
+	if c.down {
+		return
+	}
+	c.meter.hostLists++
 	body := encodeJSON(c.list)
 	c.meter.tableBytes += int64(len(body))
 	var list []state.ListedHost
--- /dev/null
+++ b/pkg/bench/slopes/rig.go
@@ -0,0 +1,147 @@
+package slopes
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	entry "github.com/apricotgrade/apricotgrade/pkg/node"
+	"github.com/apricotgrade/apricotgrade/pkg/platform/memory"
+	"github.com/apricotgrade/apricotgrade/pkg/settings"
+	"github.com/apricotgrade/apricotgrade/pkg/standin"
+)
+
+const (
+	rigKey = "slopes"
+	// rigLimit is more than any point has in flight.
+	rigLimit = 1 << 16
+	// rigReady bounds the start of an entry daemon and its replica group.
+	rigReady = 20 * time.Second
+	// rigTokens bounds the tokens of one answer of the engine.
+	rigTokens = 1 << 16
+	// rigHeader bounds the time in which a client sends its headers.
+	rigHeader = 10 * time.Second
+)
+
+// rig is an entry daemon and an engine stand-ins on the loopback interface.
+type rig struct {
+	node    *entry.Node
+	engines []*http.Server
+	// gateway and direct are the URLs of the daemon and of the engine.
+	gateway string
+	direct  string
+	client  *http.Client
+	cancel  context.CancelFunc
+	ended   chan struct{}
+}
+
+// newRig starts a daemon in front of engines that take tokenTime for each
+// token. Each engine is a replica group of one member.
+func newRig(ctx context.Context, tokenTime time.Duration, engines int) (*rig, error) {
+	r := &rig{
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: rigLimit}},
+		ended:  make(chan struct{}),
+	}
+	err := r.start(ctx, tokenTime, engines)
+	if err != nil {
+		r.close()
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *rig) start(ctx context.Context, tokenTime time.Duration, engines int) error {
+	var hosts []state.ListedHost
+	for i := range engines {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return errors.Wrap(err, "listen for an engine")
+		}
+		host := state.ListedHost{
+			ID: state.HostID(fmt.Sprintf("h%d", i)), Address: listener.Addr().String(), DataCentre: "dc", Domain: "f",
+		}
+		engine := standin.NewEngine(1)
+		engine.ID, engine.TokenTime, engine.Tokens = host.ID, tokenTime, rigTokens
+		server := &http.Server{Handler: engine.Handler(), ReadHeaderTimeout: rigHeader}
+		hosts, r.engines = append(hosts, host), append(r.engines, server)
+		go func() { _ = server.Serve(listener) }()
+	}
+	r.direct = "http://" + hosts[0].Address
+	store := memory.New()
+	store.SetHosts(hosts)
+	if err := standin.Seed(ctx, store, rigDocument(engines)); err != nil {
+		return err
+	}
+	n, err := entry.New(settings.Node{
+		ID: "n", DataCentre: "dc", Listen: "127.0.0.1:0", Admin: "127.0.0.1:0", Peer: "127.0.0.1:0", PeerKey: rigKey,
+		Operators: []settings.Operator{{Name: rigKey, Key: rigKey}},
+	}, store, slog.New(slog.DiscardHandler))
+	if err != nil {
+		return err
+	}
+	r.node, r.gateway = n, "http://"+n.CallerAddress()
+	ctx, r.cancel = context.WithCancel(ctx)
+	go func() {
+		n.Run(ctx)
+		close(r.ended)
+	}()
+	return r.ready(ctx, engines)
+}
+
+func rigDocument(groups int) state.Document {
+	sum := sha256.Sum256([]byte(rigKey))
+	doc := state.Document{
+		Accounts:    []state.AccountSpec{{Name: rigKey, KeyHash: hex.EncodeToString(sum[:]), Weight: 1}},
+		DataCentres: []state.DataCentreSpec{{Name: "dc"}},
+		Models:      []state.ModelSpec{{Name: "m", WeightBytes: 1}},
+		Presets:     []state.PresetSpec{{Name: "ordinary"}},
+	}
+	for i := range groups {
+		doc.Groups = append(doc.Groups, state.GroupSpec{
+			Name: state.GroupID(fmt.Sprintf("g%d", i)), Model: "m", Members: 1, DataCentre: "dc",
+			ColdLimit: rigLimit, WarmLimit: rigLimit,
+		})
+	}
+	return doc
+}
+
+// ready waits until the daemon serves and all groups are whole.
+func (r *rig) ready(ctx context.Context, groups int) error {
+	ctx, cancel := context.WithTimeout(ctx, rigReady)
+	defer cancel()
+	for {
+		status, whole := r.node.Status(), 0
+		for _, g := range status.Groups {
+			if g.Whole {
+				whole++
+			}
+		}
+		if status.Node.Ready && whole == groups {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "entry daemon is not ready")
+		case <-time.After(state.TickPeriod):
+		}
+	}
+}
+
+func (r *rig) close() {
+	if r.cancel != nil {
+		r.cancel()
+		<-r.ended
+	}
+	r.client.CloseIdleConnections()
+	for _, e := range r.engines {
+		_ = e.Close()
+	}
+}
--- a/pkg/bench/slopes/slopes_test.go
+++ b/pkg/bench/slopes/slopes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"os"
 	"path/filepath"
 	"testing"
@@ -47,3 +48,16 @@
 		Slopes: []slopes.Slope{}, Points: []slopes.Load{bad},
 	})).To(MatchError(ContainSubstring("out of range")))
 }
+
+// TestRunDataPath guards against a comparison whose requests fail, whose streams
+// carry no tokens, or whose runs do not end.
+func TestRunDataPath(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	g.Expect(slopes.RunDataPath(context.Background(), &out, slopes.DataOptions{
+		Warmup: 300 * time.Millisecond, Window: 300 * time.Millisecond,
+		Rates: []int{40}, Streams: []int{12}, Engines: []int{3},
+	})).To(Succeed())
+	g.Expect(out.String()).To(MatchRegexp(`\b12\s+0\.0\s+[1-9]\d{2,}`), "12 streams carry some 460 tokens a second")
+	g.Expect(out.String()).To(ContainSubstring("memory of an open stream"))
+}
