Give the targets of the slopes room for many nodes

Cause: with a cold limit of 64, two thirds of 160 nodes had no share of a target, so that the slope over nodes fell: 2,121 B/s between peers at 80 nodes and 1,206 B/s at 160, with half the load requests. The measured nodes refused requests instead of serving them.

--- a/pkg/bench/slopes/cluster.go
+++ b/pkg/bench/slopes/cluster.go
@@ -31,8 +31,11 @@
 	// requestsPerNode is the rate of the design scale: 8,300 requests a second
 	// over 320 nodes.
 	requestsPerNode = 26
-	firstToken      = 300 * time.Millisecond
-	requestTime     = 2 * time.Second
+	// targetLimit leaves each of many nodes a share of a few targets. With less,
+	// the slope over nodes would measure refusals.
+	targetLimit = 1 << 16
+	firstToken  = 300 * time.Millisecond
+	requestTime = 2 * time.Second
 )
 
 // cluster is a set of nodes with the smallest fakes that let them work.
@@ -160,7 +163,7 @@
 		groups[i%dataCentres]++
 		c.doc.Groups = append(c.doc.Groups, state.GroupSpec{
 			Name: state.GroupID(fmt.Sprintf("g%03d", i)), Model: "m", Members: c.load.Members,
-			DataCentre: centreName(i), ColdLimit: 64, WarmLimit: 4096,
+			DataCentre: centreName(i), ColdLimit: targetLimit, WarmLimit: targetLimit,
 		})
 	}
 	for i, count := range groups {
