Date the end of an attempt of a paused node by what it will have read

The attempt of a paused node ended by silence with the offset 1 that the node had passed on; 64 tokens were in its socket. On resume the fake passed the 64 on first and then fed the end with offset 1, so that the node resumed at 1 and the check of I5 failed. A process reads its socket before it sees the end of the connection or its timeout, and reports the offset that it has then.

The end of an attempt of a paused node now carries what the node will have passed on when it handles the event. No check has changed.

Ruled out: a fault of the retry system. It resumes at the offset of the event.

--- a/pkg/scenario/attempt.go
+++ b/pkg/scenario/attempt.go
@@ -98,9 +98,14 @@
 	}
 	a.done = true
 	a.leave()
+	received := a.req.received
+	if a.generation != nil && a.req.generation == a.generation.id && !a.req.Lost && a.node.Paused {
+		// A paused node reads what is in its socket before it sees the end.
+		received = max(received, a.buffered)
+	}
 	ev := state.AttemptEvent{
 		Request: a.start.Request, Attempt: a.start.Attempt, Stage: state.AttemptEnded,
-		Failure: failure, Outcome: outcome, Offset: a.req.received, PassedOn: a.req.received > 0,
+		Failure: failure, Outcome: outcome, Offset: received, PassedOn: received > 0,
 	}
 	if a.generation != nil {
 		ev.Generation = a.generation.id
