Test that a change of groups has all its rows as conditions

A change without the host rows as conditions broke no test, because the lease and the group row serialise the changes of one data centre. The new spec looks at the transaction itself; the mutation now fails it.

--- a/pkg/core/placement/fault_test.go
+++ b/pkg/core/placement/fault_test.go
@@ -63,6 +63,23 @@
 		Expect(r.group("g1").Members).NotTo(ContainElement(member))
 	})
 
+	It("have each row that they write as a condition", func() {
+		// Guards against a host that another data centre's holder has assigned
+		// since, which neither the lease nor the group row shows.
+		changes := 0
+		r.fate = func(_ *node, req state.StoreRequest) fate {
+			if isChange(req) {
+				changes++
+				for _, w := range req.Transact.Writes {
+					Expect(req.Transact.Conditions).To(ContainElement(HaveField("Key", w.Key)))
+				}
+			}
+			return fate{}
+		}
+		r.kill(r.group("g1").Members[0])
+		r.until(20*time.Second, "repaired", func() bool { return changes > 0 && r.serving("g1") })
+	})
+
 	It("by two nodes at once leave one repair", func() {
 		// Guards against two spares for one dead member, or a spare that two
 		// nodes give to two groups.
