--- a/pkg/bench/registry.go
+++ b/pkg/bench/registry.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"os"
 
 	"github.com/pkg/errors"
 
 	"github.com/apricotgrade/apricotgrade/pkg/bench/decisions"
+	"github.com/apricotgrade/apricotgrade/pkg/bench/latency"
 	"github.com/apricotgrade/apricotgrade/pkg/bench/slopes"
 )
 
@@ -38,6 +40,7 @@
 	return []Bench{
 		{Name: "datapath", Synopsis: "processor time and memory of an entry daemon for each request, token and open stream", Run: runDataPath},
 		{Name: "decisions", Synopsis: "each decision against its simplest baseline, in virtual time", Run: runDecisions},
+		{Name: "latency", Synopsis: "time, memory and processor time that an entry node adds to a direct call", Run: runLatency},
 		{Name: "slopes", Synopsis: "control cost of a node against nodes, groups, members, accounts and changes; [PLOT.png [design]]", Run: runSlopes},
 	}
 }
@@ -56,6 +59,17 @@
 	return slopes.RunDataPath(ctx, o.Out, slopes.DefaultDataOptions())
 }
 
+func runLatency(ctx context.Context, o Options) error {
+	report, err := latency.Measure(ctx, latency.Options{})
+	if err != nil {
+		return err
+	}
+	if o.JSON {
+		return errors.Wrap(json.NewEncoder(o.Out).Encode(report), "write figures")
+	}
+	return report.Write(o.Out)
+}
+
 func runSlopes(_ context.Context, o Options) error {
 	// A run takes minutes, so that each point is shown when it is measured.
 	opts := slopes.Options{Seed: o.Seed, Progress: os.Stderr}
