--- a/pkg/bench/registry.go
+++ b/pkg/bench/registry.go
@@ -52,6 +52,13 @@
 	return decisions.Run(o.Out, decisions.Options{Seed: o.Seed})
 }
 
+func runDataPath(ctx context.Context, o Options) error {
+	if o.JSON || len(o.Args) > 0 {
+		return errors.New("datapath takes no argument and has no JSON form; run it alone")
+	}
+	return slopes.RunDataPath(ctx, o.Out, slopes.DefaultDataOptions())
+}
+
 func runLatency(ctx context.Context, o Options) error {
 	report, err := latency.Measure(ctx, latency.Options{})
 	if err != nil {
@@ -63,13 +70,6 @@
 	return report.Write(o.Out)
 }
 
-func runDataPath(ctx context.Context, o Options) error {
-	if o.JSON || len(o.Args) > 0 {
-		return errors.New("datapath takes no argument and has no JSON form; run it alone")
-	}
-	return slopes.RunDataPath(ctx, o.Out, slopes.DefaultDataOptions())
-}
-
 func runSlopes(_ context.Context, o Options) error {
 	// A run takes minutes, so that each point is shown when it is measured.
 	opts := slopes.Options{Seed: o.Seed, Progress: os.Stderr}
