Rank nodes by rendezvous hashing in one place, without sorting

Cause: membership sorted all live nodes for every group whenever a link changed. In a profile of 120 nodes that was 41% of the processor time. Three packages had a score function of their own.

Declarations gain weight_rate of a data centre, which placement already paced loads by.

--- a/pkg/core/membership/exchange.go
+++ b/pkg/core/membership/exchange.go
@@ -5,8 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/apricotgrade/apricotgrade/pkg/core/rendezvous"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 	"github.com/apricotgrade/apricotgrade/pkg/event"
 )
@@ -133,27 +132,7 @@
 	for i, n := range e.registered {
 		ids[i] = n.ID
 	}
-	self := string(s.t.Self.ID)
-	rendezvous(ids, func(id state.NodeID) uint64 { return xxhash.Sum64String(self + "\x00" + string(id)) })
-	e.fixed = ids[:min(len(ids), fanOut)]
-}
-
-// rendezvous sorts nodes by descending score. Equal scores keep the order of
-// the ids.
-func rendezvous(ids []state.NodeID, score func(state.NodeID) uint64) {
-	scores := make(map[state.NodeID]uint64, len(ids))
-	for _, id := range ids {
-		scores[id] = score(id)
-	}
-	slices.SortStableFunc(ids, func(a, b state.NodeID) int {
-		switch {
-		case scores[a] > scores[b]:
-			return -1
-		case scores[a] < scores[b]:
-			return 1
-		}
-		return 0
-	})
+	e.fixed = rendezvous.Rank(string(s.t.Self.ID), ids).First(fanOut)
 }
 
 func (s *System) peerLink(now time.Duration, in state.PeerLink, out *state.Outbox) {
--- a/pkg/core/membership/watch.go
+++ b/pkg/core/membership/watch.go
@@ -4,8 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/apricotgrade/apricotgrade/pkg/core/rendezvous"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 )
 
@@ -191,13 +190,12 @@
 // for the group's data centre probe as well, so that they notice when they see
 // again, but they do not count.
 func (s *System) chooseWatchers(now time.Duration, g *groupState) {
-	order := slices.Clone(s.watch.live)
-	key := string(g.id) + "\x00"
-	rendezvous(order, func(id state.NodeID) uint64 { return xxhash.Sum64String(key + string(id)) })
+	ranking := rendezvous.Rank(string(g.id), s.watch.live)
 	dc := s.dataCentre(g)
 	g.watchers, g.duty = nil, false
-	for _, id := range order {
-		if len(g.watchers) == watchersPerGroup {
+	for len(g.watchers) < watchersPerGroup {
+		id, ok := ranking.Next()
+		if !ok {
 			break
 		}
 		if id == s.t.Self.ID {
--- a/pkg/core/placement/lease.go
+++ b/pkg/core/placement/lease.go
@@ -5,8 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/apricotgrade/apricotgrade/pkg/core/rendezvous"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 	"github.com/apricotgrade/apricotgrade/pkg/event"
 )
@@ -123,25 +122,20 @@
 // its own nodes first, each in rendezvous order.
 func (s *System) rankCandidates() {
 	for _, c := range s.centres {
-		mine := candidateScore(c.dc, s.t.Self.ID)
+		mine := rendezvous.Score(string(c.dc), s.t.Self.ID)
 		c.outsider = s.t.Self.DataCentre != c.dc
 		c.rank = 0
 		for _, n := range s.t.Config.Head.Nodes {
 			if n.ID == s.t.Self.ID || (n.DataCentre != c.dc) != c.outsider {
 				continue
 			}
-			score := candidateScore(c.dc, n.ID)
-			if score > mine || (score == mine && n.ID < s.t.Self.ID) {
+			if rendezvous.Before(rendezvous.Score(string(c.dc), n.ID), n.ID, mine, s.t.Self.ID) {
 				c.rank++
 			}
 		}
 	}
 }
 
-func candidateScore(dc state.DataCentre, id state.NodeID) uint64 {
-	return xxhash.Sum64String(string(dc) + "\x00" + string(id))
-}
-
 // takeoverDelay is how long this node leaves a lease that is free to better
 // candidates.
 func (c *centre) takeoverDelay() time.Duration {
--- /dev/null
+++ b/pkg/core/rendezvous/rendezvous_test.go
@@ -0,0 +1,59 @@
+package rendezvous_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/rendezvous"
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+)
+
+func nodes(n int) []state.NodeID {
+	list := make([]state.NodeID, n)
+	for i := range list {
+		list[i] = state.NodeID(fmt.Sprintf("n%d", i))
+	}
+	return list
+}
+
+// TestRankingIgnoresOrder guards against nodes that choose other watchers
+// because they list the same nodes in another order.
+func TestRankingIgnoresOrder(t *testing.T) {
+	list := nodes(40)
+	want := rendezvous.Rank("g1", list).First(40)
+	slices.Reverse(list)
+	if got := rendezvous.Rank("g1", list).First(41); !slices.Equal(got, want) {
+		t.Errorf("ranking %v, want %v", got, want)
+	}
+}
+
+// TestRankingMovesLittle guards against a choice that changes for all keys when
+// one node goes.
+func TestRankingMovesLittle(t *testing.T) {
+	all := nodes(6)
+	moved := 0
+	for i := range 600 {
+		key := fmt.Sprintf("g%d", i)
+		before := rendezvous.Rank(key, all).First(1)[0]
+		after := rendezvous.Rank(key, all[:5]).First(1)[0]
+		if before != after && before != "n5" {
+			t.Fatalf("%s moved from %s to %s although n5 went", key, before, after)
+		}
+		if before != after {
+			moved++
+		}
+	}
+	if moved < 50 || moved > 150 {
+		t.Errorf("%d of 600 keys moved, want about 100", moved)
+	}
+}
+
+// BenchmarkFirst measures the choice of two watchers among the nodes of the
+// design scale.
+func BenchmarkFirst(b *testing.B) {
+	list := nodes(320)
+	for b.Loop() {
+		rendezvous.Rank("g1", list).First(2)
+	}
+}
--- a/pkg/core/routing/limit.go
+++ b/pkg/core/routing/limit.go
@@ -4,8 +4,7 @@
 	"log/slog"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/apricotgrade/apricotgrade/pkg/core/rendezvous"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 	"github.com/apricotgrade/apricotgrade/pkg/event"
 )
@@ -90,14 +89,13 @@
 // rank returns this node's place in the rendezvous order of a registry for a
 // target, or -1 when it is not registered.
 func (s *System) rank(id state.TargetID, nodes []state.NodeEntry) int {
-	own, rank, registered := weight(id, s.t.Self.ID), 0, false
+	own, rank, registered := rendezvous.Score(string(id), s.t.Self.ID), 0, false
 	for _, n := range nodes {
 		if n.ID == s.t.Self.ID {
 			registered = true
 			continue
 		}
-		w := weight(id, n.ID)
-		if w > own || (w == own && n.ID < s.t.Self.ID) {
+		if rendezvous.Before(rendezvous.Score(string(id), n.ID), n.ID, own, s.t.Self.ID) {
 			rank++
 		}
 	}
@@ -107,15 +105,6 @@
 	return rank
 }
 
-func weight(id state.TargetID, node state.NodeID) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(string(id))
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(string(node))
-	return d.Sum64()
-}
-
 // hasRoom reports whether this node may send one more request. On a warm target
 // it may borrow what the others have reported not to use.
 func (s *System) hasRoom(tr *track) bool {
--- a/pkg/declaration/format.go
+++ b/pkg/declaration/format.go
@@ -57,6 +57,7 @@
 	for _, d := range doc.DataCentres {
 		b := block{header: "data_centre " + string(d.Name)}
 		b.set("region", d.Region, "")
+		b.number("weight_rate", d.WeightRate, 0)
 		all = append(all, b)
 	}
 	for _, m := range doc.Models {
--- a/pkg/declaration/parse.go
+++ b/pkg/declaration/parse.go
@@ -68,7 +68,7 @@
 		})
 	}
 	for _, in := range file.All("data_centre") {
-		doc.DataCentres = append(doc.DataCentres, state.DataCentreSpec{Name: state.DataCentre(in.Name), Region: in.Text("region")})
+		doc.DataCentres = append(doc.DataCentres, state.DataCentreSpec{Name: state.DataCentre(in.Name), Region: in.Text("region"), WeightRate: in.Int("weight_rate")})
 	}
 	for _, in := range file.All("model") {
 		doc.Models = append(doc.Models, state.ModelSpec{
--- a/pkg/declaration/roundtrip_test.go
+++ b/pkg/declaration/roundtrip_test.go
@@ -70,6 +70,7 @@
 concurrency = 3
 [data_centre north]
 region = r
+weight_rate = 6
 [model m]
 versions = 1
 adapters = x
--- a/pkg/declaration/table.go
+++ b/pkg/declaration/table.go
@@ -39,6 +39,7 @@
 			Name: "data_centre", Named: true, Required: true, Help: "A data centre.",
 			Keys: []inifile.Key{
 				{Name: "region", Kind: inifile.Name, Help: "Region of the data centre. Data centres without a region are in one region."},
+				{Name: "weight_rate", Kind: inifile.Integer, Unit: "bytes a second", Default: "0", Max: maxWeightBytes, Help: "What the weight store delivers to the data centre. It paces loading; 0 means without a bound."},
 			},
 		},
 		{
