--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/apricotgrade/apricotgrade/pkg/core"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 	"github.com/apricotgrade/apricotgrade/pkg/daemon"
+	"github.com/apricotgrade/apricotgrade/pkg/event"
 	"github.com/apricotgrade/apricotgrade/pkg/gateway"
 	"github.com/apricotgrade/apricotgrade/pkg/metric"
 	"github.com/apricotgrade/apricotgrade/pkg/operator"
@@ -99,7 +100,7 @@
 	go n.serve(ctx, n.peers, peers.Serve)
 	go n.serve(ctx, n.admin, admin.Serve)
 	go n.serve(ctx, n.callers, n.server.Serve)
-	n.log.LogAttrs(ctx, slog.LevelInfo, "node listens",
+	event.Log(ctx, n.log, event.NodeStarted,
 		slog.String("callers", n.CallerAddress()), slog.String("peers", n.peers.Addr().String()), slog.String("operators", n.AdminAddress()))
 	go func() {
 		<-n.daemon.Stopping()
