Test that a repeat does not ask the next process of a dead holder

Leaving out the incarnation in holderLives broke no test. A repeat then waits for a process that knows nothing of the claim instead of looking it up. The new spec fails with that mutation.

--- a/pkg/core/claims_test.go
+++ b/pkg/core/claims_test.go
@@ -154,6 +154,21 @@
 		Expect(w.nodes[1].starts).To(BeEmpty())
 	})
 
+	// Guards against a repeat that waits for the next process of a holder that
+	// died: that one knows nothing of the claim.
+	It("does not ask the next process of a holder that died", func() {
+		w.targets["orders/a"].serve = time.Hour
+		w.send(w.nodes[0], order("k", "x"))
+		w.run(20 * time.Millisecond)
+		w.kill(w.nodes[0])
+		holder := w.nodes[1].t.Peers.Get(w.nodes[0].t.Self.ID)
+		holder.Linked, holder.Incarnation = true, holder.Incarnation+1
+		id := w.send(w.nodes[1], order("k", "x"))
+		w.run(5 * time.Second)
+		Expect(outcome(id)).To(Equal(apierror.Done))
+		Expect(w.nodes[1].starts).To(BeEmpty())
+	})
+
 	// Guards against a false "not run" when the lookup finds nothing.
 	It("reports unknown when no lookup settles a dead holder's claim", func() {
 		w = newWorld(2, state.Switches{}, orderDoc(""))
