--- a/test/process/rig_test.go
+++ b/test/process/rig_test.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -24,6 +23,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/apricotgrade/apricotgrade/internal/freeport"
 	"github.com/apricotgrade/apricotgrade/internal/gozero"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 	"github.com/apricotgrade/apricotgrade/pkg/operator"
@@ -166,17 +166,31 @@
 
 var listens = regexp.MustCompile(`msg="node listens" callers=(\S+) peers=\S+ operators=(\S+)`)
 
-// freeAddress returns an address whose port the kernel chose. The listener of
-// peers needs it before it starts, since it is published.
+// freeAddress returns an address for the listener of peers, which is published
+// before it opens.
 func (r *rig) freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	a, err := freeport.Address()
 	r.Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return a
 }
 
 // start runs a daemon and waits until it is ready and serves model requests.
+// Another process may take the port of the peer listener between its choice and
+// its use; the daemon then runs again with another one.
 func (r *rig) start(id string) *process {
+	r.t.Helper()
+	for {
+		p, ok := r.launch(id)
+		if ok {
+			r.Eventually(func() int { return p.chat("").status }, bound, poll).Should(Equal(http.StatusOK))
+			return p
+		}
+		r.Expect(p.logged()).To(ContainSubstring("address already in use"), "the daemon ended")
+	}
+}
+
+// launch runs a daemon until it listens. It returns false when it has ended.
+func (r *rig) launch(id string) (*process, bool) {
 	r.t.Helper()
 	p := &process{r: r, exited: make(chan error, 1)}
 	path := filepath.Join(r.t.TempDir(), id+".ini")
@@ -204,14 +218,22 @@
 			r.t.Logf("log of %s:\n%s", id, p.logged())
 		}
 	})
-	r.Eventually(func() string {
-		r.Expect(p.exited).NotTo(Receive(), "the daemon ended")
-		return p.logged()
-	}, bound, poll).Should(MatchRegexp(listens.String()))
+	ended := false
+	r.Eventually(func() bool {
+		select {
+		case err := <-p.exited:
+			ended = true
+			r.t.Logf("%s ended: %v", id, err)
+		default:
+		}
+		return ended || listens.MatchString(p.logged())
+	}, bound, poll).Should(BeTrue())
+	if ended {
+		return p, false
+	}
 	m := listens.FindStringSubmatch(p.logged())
 	p.url, p.admin = "http://"+m[1], "http://"+m[2]
-	r.Eventually(func() int { return p.chat("").status }, bound, poll).Should(Equal(http.StatusOK))
-	return p
+	return p, true
 }
 
 func (p *process) signal(s syscall.Signal) { p.r.Expect(p.cmd.Process.Signal(s)).To(Succeed()) }
