--- a/pkg/bench/registry.go
+++ b/pkg/bench/registry.go
@@ -6,10 +6,12 @@
 	"context"
 	"encoding/json"
 	"io"
+	"log/slog"
 	"os"
 
 	"github.com/pkg/errors"
 
+	"github.com/apricotgrade/apricotgrade/internal/gozero"
 	"github.com/apricotgrade/apricotgrade/pkg/bench/decisions"
 	"github.com/apricotgrade/apricotgrade/pkg/bench/latency"
 	"github.com/apricotgrade/apricotgrade/pkg/bench/slopes"
@@ -71,6 +73,8 @@
 }
 
 func runSlopes(_ context.Context, o Options) error {
+	// The HTTP library samples and logs by itself in any process that links it.
+	gozero.Quiet(slog.New(slog.DiscardHandler))
 	// A run takes minutes, so that each point is shown when it is measured.
 	opts := slopes.Options{Seed: o.Seed, Progress: os.Stderr}
 	plot := ""
