Let routing alone write the suspect mark of a target

Two systems cleared the mark, which broke the rule of one writer for each column and needed a copy of it in routing. Routing now clears it by a verdict or a load report from after the failure.

--- a/pkg/core/controltest/membership_test.go
+++ b/pkg/core/controltest/membership_test.go
@@ -318,17 +318,6 @@
 		}
 	})
 
-	// Guards against a target that stays suspect, and against one that is
-	// cleared by a probe from before the error.
-	ginkgo.It("clears a suspect target by a probe sent after the error", func() {
-		c := watched(3, 1)
-		t := c.nodes["n1"].t
-		t.Targets.Put("g1", &state.Target{ID: "g1", Group: "g1", Suspect: true})
-		from := c.now
-		c.runUntil(2*time.Second, func() bool { return !t.Targets.Get("g1").Suspect })
-		gomega.Expect(t.Groups.Get("g1").WholeAt).To(gomega.BeNumerically(">", from-c.nodes["n1"].start))
-	})
-
 	// Guards against limits over all nodes that count on stale numbers.
 	ginkgo.It("passes on counts in flight and drops those of a former incarnation", func() {
 		c := started(3)
--- a/pkg/core/membership/membership.go
+++ b/pkg/core/membership/membership.go
@@ -18,8 +18,7 @@
 
 // System reads Config, Draining and the row columns of Groups, and the
 // counts in flight of Targets and Accounts. It writes Peers, the listed and
-// probed columns of Hosts and the verdict columns of Groups, and clears Suspect
-// of Targets.
+// probed columns of Hosts and the verdict columns of Groups.
 type System struct {
 	t        *state.Tables
 	nextList time.Duration
@@ -27,7 +26,6 @@
 	log      changeLog
 	watch    watch
 	prober   prober
-	suspects suspects
 }
 
 // New returns the membership system.
@@ -37,7 +35,6 @@
 	s.log.init(t)
 	s.watch.init(t)
 	s.prober.init()
-	s.suspects.init(t)
 	return s
 }
 
@@ -56,12 +53,9 @@
 		s.listed(now, in)
 	case state.ProbeResult:
 		s.probed(now, in, out)
-	case state.LoadReport:
-		s.loadReported(in)
 	}
 	s.reassign(now, out)
 	s.log.collect(s.t)
-	s.followSuspects(now)
 }
 
 func (s *System) tick(now time.Duration, out *state.Outbox) {
--- a/pkg/core/membership/votes.go
+++ b/pkg/core/membership/votes.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"slices"
 	"time"
 
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
@@ -110,56 +109,3 @@
 	ps.groups = nil
 	s.watch.changed = true
 }
-
-// suspects are the targets to which a connection failed.
-type suspects struct {
-	dirty *state.DirtySet[state.TargetID]
-	// since is when this system first saw that the target is suspect.
-	since map[state.TargetID]time.Duration
-	ids   []state.TargetID
-}
-
-func (x *suspects) init(t *state.Tables) {
-	x.dirty, x.since = t.Targets.Subscribe(), map[state.TargetID]time.Duration{}
-}
-
-// followSuspects clears the targets whose group is whole by probes that were
-// sent after the connection failed.
-func (s *System) followSuspects(now time.Duration) {
-	x := &s.suspects
-	for _, id := range x.dirty.Take() {
-		row := s.t.Targets.Get(id)
-		if row == nil || !row.Suspect {
-			delete(x.since, id)
-			x.ids = without(x.ids, id)
-			continue
-		}
-		if _, ok := x.since[id]; !ok {
-			x.since[id] = now
-			x.ids = with(x.ids, id)
-		}
-	}
-	for _, id := range slices.Clone(x.ids) {
-		row := s.t.Targets.Get(id)
-		group := s.t.Groups.Get(row.Group)
-		if row.Group != "" && group != nil && group.Whole && group.WholeAt > x.since[id] {
-			s.clearSuspect(id)
-		}
-	}
-}
-
-func (s *System) clearSuspect(id state.TargetID) {
-	s.t.Targets.Get(id).Suspect = false
-	s.t.Targets.Touch(id)
-}
-
-// loadReported clears a suspect replica of a plain service, which has no group
-// and therefore no probe of its own.
-func (s *System) loadReported(in state.LoadReport) {
-	x := &s.suspects
-	since, ok := x.since[in.Target]
-	row := s.t.Targets.Get(in.Target)
-	if ok && row != nil && row.Group == "" && in.OK && in.SentAt > since {
-		s.clearSuspect(in.Target)
-	}
-}
--- a/pkg/core/routing/filter.go
+++ b/pkg/core/routing/filter.go
@@ -69,9 +69,6 @@
 		if group == nil || !group.Whole || now-group.WholeAt > membership.VerdictFor {
 			return false
 		}
-		if row.Suspect && group.WholeAt > row.SuspectAt {
-			row.Suspect = false
-		}
 	}
 	if !s.isChecked(now, tr) {
 		s.watch(now, tr)
--- a/pkg/core/routing/load.go
+++ b/pkg/core/routing/load.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/apricotgrade/apricotgrade/pkg/apierror"
@@ -85,9 +86,6 @@
 	}
 	row.Report, row.ReportAt, tr.hasReport = in.Answer, in.SentAt, true
 	row.SentSinceReport, tr.peersAtReport = tr.sentSinceFetch, row.PeerInFlight
-	if row.Suspect && row.Service != "" && in.SentAt > row.SuspectAt {
-		row.Suspect, s.grew = false, true
-	}
 	s.hints.report(in, now)
 	s.setLeaving(tr)
 	s.limit(now, tr)
@@ -116,7 +114,7 @@
 	}
 	switch ev.Failure {
 	case state.FailureConnect, state.FailureBroken:
-		tr.row.Suspect, tr.row.SuspectAt = true, now
+		s.suspect(now, tr)
 		s.turnCold(now, tr, out)
 		s.watch(now, tr)
 	case state.FailureNone:
@@ -149,6 +147,36 @@
 	s.release(tr)
 }
 
+// suspect keeps new work from a target to which a connection failed.
+func (s *System) suspect(now time.Duration, tr *track) {
+	if !tr.row.Suspect {
+		s.suspects = append(s.suspects, tr.row.ID)
+	}
+	tr.row.Suspect, tr.row.SuspectAt = true, now
+	s.t.Targets.Touch(tr.row.ID)
+}
+
+// clearSuspects clears the targets that evidence from after the failure shows to
+// be well: a verdict on a group, or the load report of a replica of a plain
+// service, which nobody probes.
+func (s *System) clearSuspects() {
+	s.suspects = slices.DeleteFunc(s.suspects, func(id state.TargetID) bool {
+		tr := s.tracks[id]
+		if tr == nil {
+			return true
+		}
+		row := tr.row
+		well := row.Group == "" && row.ReportAt > row.SuspectAt ||
+			tr.group != nil && tr.group.Whole && tr.group.WholeAt > row.SuspectAt
+		if !well {
+			return false
+		}
+		row.Suspect, s.grew = false, true
+		s.t.Targets.Touch(id)
+		return true
+	})
+}
+
 // release frees one place at a target.
 func (s *System) release(tr *track) {
 	tr.row.InFlight--
--- a/pkg/core/routing/routing.go
+++ b/pkg/core/routing/routing.go
@@ -21,7 +21,8 @@
 	groups   *state.DirtySet[state.GroupID]
 	hosts    *state.DirtySet[state.HostID]
 	peers    *state.DirtySet[state.NodeID]
-	targets  *state.DirtySet[state.TargetID]
+	// suspects are the targets to which a connection failed.
+	suspects []state.TargetID
 	requests *state.DirtySet[state.RequestID]
 	// held maps requests that may resume to the target that keeps their place.
 	held     map[state.RequestID]*track
@@ -67,7 +68,6 @@
 	firstTokens    int
 	usualFirst     time.Duration
 	hostLeaving    bool
-	suspect        bool
 	// asked is set once a load request was answered or failed; askedAt dates it.
 	asked   bool
 	askedAt time.Duration
@@ -85,7 +85,7 @@
 func New(t *state.Tables) *System {
 	return &System{
 		t: t, groups: t.Groups.Subscribe(), hosts: t.Hosts.Subscribe(), peers: t.Peers.Subscribe(),
-		targets: t.Targets.Subscribe(), requests: t.Requests.Subscribe(), held: map[state.RequestID]*track{},
+		requests: t.Requests.Subscribe(), held: map[state.RequestID]*track{},
 		tracks: map[state.TargetID]*track{}, loads: map[state.NodeID][]state.TargetCount{},
 		seen:    map[state.HostID]seenHost{},
 		fetches: state.NewDueQueue[state.TargetID](), expiry: state.NewDueQueue[state.TargetID](),
@@ -109,13 +109,6 @@
 	for _, id := range s.requests.Take() {
 		s.releaseHeld(id)
 	}
-	for _, id := range s.targets.Take() {
-		// The membership system clears suspects too.
-		if tr := s.tracks[id]; tr != nil {
-			s.grew = s.grew || (tr.suspect && !tr.row.Suspect)
-			tr.suspect = tr.row.Suspect
-		}
-	}
 	for _, id := range s.peers.Take() {
 		s.peerChanged(id)
 	}
@@ -127,6 +120,7 @@
 	case state.Tick:
 		s.tick(now, out)
 	}
+	s.clearSuspects()
 }
 
 // CapacityGrew reports whether a target may take more than at the last call.
@@ -244,7 +238,7 @@
 		return
 	}
 	stale := now-tr.wholeAt > membership.VerdictFor
-	if group.Whole && (!tr.whole || stale || tr.suspect) {
+	if group.Whole && (!tr.whole || stale) {
 		s.grew = true
 	}
 	tr.whole, tr.wholeAt = group.Whole, group.WholeAt
