--- a/pkg/bench/latency/latency.go
+++ b/pkg/bench/latency/latency.go
@@ -158,7 +158,11 @@
 			a.Through.Median, a.Through.Tail, median, tail, verdict(median <= goalMedian && tail <= goalTail))
 	}
 	if r.MemoryPerStream != 0 {
-		line("tokens relayed per second of processor time\t%.0f", r.TokensPerCore)
+		if r.TokensPerCore > 0 {
+			line("tokens relayed per second of processor time\t%.0f", r.TokensPerCore)
+		} else {
+			line("tokens relayed per second of processor time\tnot measured: the difference of processor times is below the noise")
+		}
 		line("memory per open stream\t%d bytes\t%s", r.MemoryPerStream, verdict(r.MemoryPerStream <= goalMemory))
 		line("allocations per plain request\t%.0f", r.AllocationsPerPlain)
 		line("allocations per streamed request\t%.0f", r.AllocationsPerStream)
