Send nothing that was held up after its decision

Cause: the core decides on fresh evidence, and the attempt is sent by another goroutine. Found by reading.

An attempt older than 250 ms is now reported as not run and decided again, and the bound on a dial falls from 1 s to 700 ms, so that FreshFor (2 s), the hold-up and the dial stay below 3 s. Ruled out: a check in the core only, which ends before the gap. What remains is a pause between the check and the write.

TestHeldUpAttemptIsNotSent sends old decisions of both kinds of request and counts what reaches the target: none, and one for a decision of now.

--- a/pkg/core/admission/dispatch.go
+++ b/pkg/core/admission/dispatch.go
@@ -89,7 +89,7 @@
 	}
 	out.Add(state.StartAttempt{
 		Request: a.ID, Attempt: req.Attempt, Target: target, Address: s.t.Targets.Get(target).Address,
-		Resume: resume, NewConnection: !a.Repeatable() || resume != nil, Timeout: req.Deadline - now,
+		Resume: resume, NewConnection: !a.Repeatable() || resume != nil, Timeout: req.Deadline - now, DecidedAt: now,
 	})
 }
 
--- a/pkg/core/retry/attempt.go
+++ b/pkg/core/retry/attempt.go
@@ -114,7 +114,7 @@
 		return false
 	}
 	switch ev.Failure {
-	case state.FailureBroken, state.FailureSilent:
+	case state.FailureBroken, state.FailureSilent, state.FailureHeldUp:
 		return true
 	case state.FailureConnect:
 		return req.PassedOn || req.Arrival.Resume != nil
--- a/pkg/core/state/input.go
+++ b/pkg/core/state/input.go
@@ -196,6 +196,9 @@
 	FailureTarget
 	// FailureCancelled means that the attempt was cancelled.
 	FailureCancelled
+	// FailureHeldUp means that this node was held up after the decision and sent
+	// nothing.
+	FailureHeldUp
 )
 
 // AttemptEvent is progress of an attempt.
--- a/pkg/core/state/output.go
+++ b/pkg/core/state/output.go
@@ -124,6 +124,10 @@
 	// NewConnection forbids a pooled connection and any replay.
 	NewConnection bool
 	Timeout       time.Duration
+	// DecidedAt is the node's time of the decision. An attempt that was held up
+	// since then, as in a paused process, is not sent: the evidence behind the
+	// decision has ended.
+	DecidedAt time.Duration
 }
 
 // CancelAttempt stops an attempt.
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -26,6 +26,21 @@
 	maxOnceAnswer = 8 << 20
 )
 
+// sendWithin is how long after its decision an attempt may be sent. With the
+// freshness of the configuration (2 s) and the bound on a dial (700 ms) new work
+// leaves within 3 s of what the decision rests on.
+const sendWithin = 250 * time.Millisecond
+
+// isHeldUp reports whether an attempt is too late to be sent, because this
+// process was paused or starved after the decision.
+func (a *attemptState) isHeldUp() bool {
+	if a.start.DecidedAt == 0 || a.g.daemon.Now()-a.start.DecidedAt <= sendWithin {
+		return false
+	}
+	a.ev.Failure, a.ev.Outcome = state.FailureHeldUp, apierror.NotRun
+	return true
+}
+
 // attemptState is one running attempt.
 type attemptState struct {
 	g      *Gateway
@@ -106,6 +121,9 @@
 		a.ev.Failure, a.ev.Outcome = state.FailureConnect, apierror.NotRun
 		return a.ev
 	}
+	if a.isHeldUp() {
+		return a.ev
+	}
 	res, err := g.targets.Do(req, start.NewConnection || start.Resume != nil)
 	if err != nil {
 		a.fail(err)
@@ -212,6 +230,9 @@
 		a.ev.Failure, a.ev.Outcome = state.FailureConnect, apierror.NotRun
 		return a.ev
 	}
+	if a.isHeldUp() {
+		return a.ev
+	}
 	res, err := g.targets.Do(req, true)
 	if err != nil {
 		a.fail(err)
--- /dev/null
+++ b/pkg/gateway/held_test.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/apricotgrade/apricotgrade/pkg/apierror"
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+)
+
+// TestHeldUpAttemptIsNotSent guards against new work that leaves a process which
+// was paused between the decision and the sending, when the target may have been
+// taken out in the meantime.
+func TestHeldUpAttemptIsNotSent(t *testing.T) {
+	g := NewWithT(t)
+	var sent atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		sent.Add(1)
+		writeJSON(w, http.StatusOK, 1)
+	}))
+	defer server.Close()
+	gw := newRelay(t)
+	start := begin(server, 1)
+	for _, attempt := range []func() state.AttemptEvent{
+		func() state.AttemptEvent {
+			return gw.attempt(httptest.NewRecorder(), newExchange(modelCall(false)), start)
+		},
+		func() state.AttemptEvent { return gw.attemptOnce(newExchange(modelCall(false)), start) },
+	} {
+		start.DecidedAt = gw.daemon.Now() - time.Second
+		ev := attempt()
+		g.Expect(ev.Failure).To(Equal(state.FailureHeldUp))
+		g.Expect(ev.Outcome).To(Equal(apierror.NotRun))
+		g.Expect(sent.Load()).To(BeZero())
+	}
+	start.DecidedAt = gw.daemon.Now()
+	gw.attemptOnce(newExchange(modelCall(false)), start)
+	g.Expect(sent.Load()).To(Equal(int64(1)))
+}
--- a/pkg/metric/request.go
+++ b/pkg/metric/request.go
@@ -119,4 +119,5 @@
 var failures = map[state.AttemptFailure]string{
 	state.FailureNone: "none", state.FailureConnect: "connect", state.FailureBroken: "broken", state.FailureSilent: "silent",
 	state.FailureRefused: "refused", state.FailureTarget: "target", state.FailureCancelled: "cancelled",
+	state.FailureHeldUp: "held_up",
 }
--- a/pkg/target/endpoint.go
+++ b/pkg/target/endpoint.go
@@ -11,7 +11,10 @@
 )
 
 const (
-	dialTimeout = time.Second
+	// dialTimeout is a part of the time in which new work may still leave for
+	// what was taken out. A second packet of a handshake would follow only after
+	// 1 s.
+	dialTimeout = 700 * time.Millisecond
 	// idleConnections bounds the pooled connections to one address.
 	idleConnections = 64
 	idleTimeout     = 60 * time.Second
