--- a/pkg/command/declare.go
+++ b/pkg/command/declare.go
@@ -50,20 +50,27 @@
 	}
 }
 
+// planFile reads the declarations in the file that the arguments name and asks
+// for the plan to apply them.
+func planFile(ctx context.Context, e *env, args []string) (string, operator.Plan, error) {
+	if len(args) != 1 {
+		return "", operator.Plan{}, errUsage
+	}
+	text, err := readDeclarations(e, args[0])
+	if err != nil {
+		return "", operator.Plan{}, err
+	}
+	plan, err := e.client.Plan(ctx, text)
+	return text, plan, err
+}
+
 func newPlan() *Command {
 	asJSON := false
 	return &Command{
 		name: "plan", args: "FILE", synopsis: "show what applying declarations would change", remote: true,
 		flags: func(f *flag.FlagSet) { f.BoolVar(&asJSON, "json", false, "print JSON") },
 		run: func(ctx context.Context, e *env, args []string) error {
-			if len(args) != 1 {
-				return errUsage
-			}
-			text, err := readDeclarations(e, args[0])
-			if err != nil {
-				return err
-			}
-			plan, err := e.client.Plan(ctx, text)
+			_, plan, err := planFile(ctx, e, args)
 			if err != nil {
 				return err
 			}
@@ -99,14 +106,7 @@
 			f.Uint64Var(&base, "base", 0, "version that an earlier plan was made against (default the version of the plan shown)")
 		},
 		run: func(ctx context.Context, e *env, args []string) error {
-			if len(args) != 1 {
-				return errUsage
-			}
-			text, err := readDeclarations(e, args[0])
-			if err != nil {
-				return err
-			}
-			plan, err := e.client.Plan(ctx, text)
+			text, plan, err := planFile(ctx, e, args)
 			if err != nil {
 				return err
 			}
--- a/pkg/gateway/completion.go
+++ b/pkg/gateway/completion.go
@@ -147,17 +147,11 @@
 }
 
 func (g *Gateway) completion(w http.ResponseWriter, r *http.Request) {
-	account, apiErr := g.account(r)
+	account, c, apiErr := g.identify(w, r)
 	if apiErr != nil {
 		writeError(w, apiErr)
 		return
 	}
-	c, apiErr := readCommon(r.Header)
-	if apiErr != nil {
-		writeError(w, apiErr)
-		return
-	}
-	w.Header().Set("X-Request-Id", string(c.id))
 	body, err := readBody(w, r)
 	if err != nil {
 		fail(w, err)
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -47,18 +47,27 @@
 	return false
 }
 
-func (g *Gateway) service(w http.ResponseWriter, r *http.Request) {
+// identify returns the account of a caller and what its headers say, and names
+// the request in the header of the answer.
+func (g *Gateway) identify(w http.ResponseWriter, r *http.Request) (state.AccountID, common, *apierror.Error) {
 	account, apiErr := g.account(r)
 	if apiErr != nil {
-		writeError(w, apiErr)
-		return
+		return "", common{}, apiErr
 	}
 	c, apiErr := readCommon(r.Header)
+	if apiErr != nil {
+		return "", common{}, apiErr
+	}
+	w.Header().Set("X-Request-Id", string(c.id))
+	return account, c, nil
+}
+
+func (g *Gateway) service(w http.ResponseWriter, r *http.Request) {
+	account, c, apiErr := g.identify(w, r)
 	if apiErr != nil {
 		writeError(w, apiErr)
 		return
 	}
-	w.Header().Set("X-Request-Id", string(c.id))
 	name, path, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, servicesPrefix), "/")
 	_, escaped, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), servicesPrefix), "/")
 	services := g.daemon.Snapshot().Document.Services
