--- a/pkg/bench/slopes/slopes.go
+++ b/pkg/bench/slopes/slopes.go
@@ -73,7 +73,7 @@
 // fall into the window.
 func DefaultSlopes() []Slope {
 	return []Slope{
-		vary("nodes", []int{10, 20, 40, 80, 160}, func(l *Load, v int) { l.Nodes, l.Replicas = v, fewReplicas }),
+		vary("nodes", []int{20, 80, 160, 240, 320}, func(l *Load, v int) { l.Nodes, l.Replicas = v, fewReplicas }),
 		vary("replicas", []int{50, 150, 300, 450, 600}, func(l *Load, v int) { l.Replicas = v }),
 		vary("members", []int{2, 4, 8, 12, 16}, func(l *Load, v int) { l.Members = v }),
 		vary("accounts", []int{10, 50, 100, 200, 400}, func(l *Load, v int) { l.Accounts = v }),
