Give streams smaller connection buffers towards targets

Cause: 20 KB of the memory of an open stream are read and write buffers of 4 KiB (heap profile); those towards the target serve events of a few hundred bytes and small requests.

--- a/pkg/target/endpoint.go
+++ b/pkg/target/endpoint.go
@@ -15,6 +15,10 @@
 	// what was taken out. A second packet of a handshake would follow only after
 	// 1 s.
 	dialTimeout = 700 * time.Millisecond
+	// readBuffer and writeBuffer, in bytes, are held by each open stream. Events
+	// are a few hundred bytes, and larger parts of a body pass by the buffers.
+	readBuffer  = 2 << 10
+	writeBuffer = 1 << 10
 	// idleConnections bounds the pooled connections to one address.
 	idleConnections = 64
 	idleTimeout     = 60 * time.Second
@@ -75,6 +79,7 @@
 	return &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true, Protocols: protocols,
 		MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout,
+		ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer,
 	}
 }
 
