--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -116,18 +116,11 @@
 		a.ev.Failure = state.FailureBroken
 		return a.ev
 	}
-	req, err := a.request()
-	if err != nil {
-		a.ev.Failure, a.ev.Outcome = state.FailureConnect, apierror.NotRun
-		return a.ev
-	}
-	if a.isHeldUp() {
+	res, sent := a.send(start.NewConnection || start.Resume != nil)
+	if !sent {
 		return a.ev
 	}
-	res, err := g.targets.Do(req, start.NewConnection || start.Resume != nil)
-	if err != nil {
-		a.fail(err)
-	} else {
+	if res != nil {
 		a.receive(w, res)
 		_ = res.Body.Close()
 	}
@@ -138,6 +131,26 @@
 	return a.ev
 }
 
+// send sends the request of the attempt. Without a response the attempt has
+// ended. The second result is false when nothing was handed to the transport, so
+// that no generation of the attempt exists.
+func (a *attemptState) send(newConnection bool) (*http.Response, bool) {
+	req, err := a.request()
+	if err != nil {
+		a.ev.Failure, a.ev.Outcome = state.FailureConnect, apierror.NotRun
+		return nil, false
+	}
+	if a.isHeldUp() {
+		return nil, false
+	}
+	res, err := a.g.targets.Do(req, newConnection)
+	if err != nil {
+		a.fail(err)
+		return nil, true
+	}
+	return res, true
+}
+
 // cancelGeneration stops the generation of a cancelled attempt before the core
 // frees its place, so that a target never has more work than its limit.
 func (a *attemptState) cancelGeneration() {
@@ -225,17 +238,8 @@
 func (g *Gateway) attemptOnce(e *exchange, start state.StartAttempt) state.AttemptEvent {
 	a := g.newAttempt(e, start)
 	defer a.close()
-	req, err := a.request()
-	if err != nil {
-		a.ev.Failure, a.ev.Outcome = state.FailureConnect, apierror.NotRun
-		return a.ev
-	}
-	if a.isHeldUp() {
-		return a.ev
-	}
-	res, err := g.targets.Do(req, true)
-	if err != nil {
-		a.fail(err)
+	res, _ := a.send(true)
+	if res == nil {
 		return a.ev
 	}
 	defer func() { _ = res.Body.Close() }()
--- a/pkg/operator/change.go
+++ b/pkg/operator/change.go
@@ -12,12 +12,18 @@
 	"github.com/apricotgrade/apricotgrade/pkg/declaration"
 )
 
-func (s *Server) apply(r *http.Request, operator string) (any, error) {
+// readDeclarations reads a change that carries declarations.
+func readDeclarations(r *http.Request) (Change, state.Document, error) {
 	change, err := readChange(r)
 	if err != nil {
-		return nil, err
+		return change, state.Document{}, err
 	}
 	doc, err := declaration.Parse("declarations", []byte(change.Declarations))
+	return change, doc, err
+}
+
+func (s *Server) apply(r *http.Request, operator string) (any, error) {
+	change, doc, err := readDeclarations(r)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/operator/handler.go
+++ b/pkg/operator/handler.go
@@ -184,11 +184,7 @@
 }
 
 func (s *Server) plan(r *http.Request, _ string) (any, error) {
-	change, err := readChange(r)
-	if err != nil {
-		return nil, err
-	}
-	doc, err := declaration.Parse("declarations", []byte(change.Declarations))
+	_, doc, err := readDeclarations(r)
 	if err != nil {
 		return nil, err
 	}
