--- a/pkg/daemon/lane.go
+++ b/pkg/daemon/lane.go
@@ -75,11 +75,8 @@
 	d.call(ctx, out)
 }
 
-// Counters counts what the loop did. It is safe for concurrent use.
+// Counters counts the outgoing calls of the loop. It is safe for concurrent use.
 type Counters struct {
-	Steps atomic.Int64
-	// StepTime is the time spent in the core, in nanoseconds.
-	StepTime atomic.Int64
 	// Calls is the number of outgoing calls in progress.
 	Calls atomic.Int64
 	// Abandoned counts calls that found no room in time.
--- a/pkg/daemon/observe.go
+++ b/pkg/daemon/observe.go
@@ -24,8 +24,6 @@
 func (d *Daemon) stepCore(in state.Input) []state.Output {
 	now := d.Now()
 	outputs := d.node.Step(now, in)
-	d.counters.Steps.Add(1)
-	d.counters.StepTime.Add(int64(d.Now() - now))
 	d.publish()
 	if d.observer != nil {
 		d.observer.Step(now, in, outputs, d.Now()-now)
