--- a/cmd/apricotgraded/main.go
+++ b/cmd/apricotgraded/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -11,9 +12,10 @@
 )
 
 func main() {
-	path := flag.String("settings", "apricotgraded.ini", "settings file; docs/settings.md lists its keys")
+	path := flag.String("settings", cmp.Or(os.Getenv("APRICOTGRADE_SETTINGS"), "apricotgraded.ini"),
+		"settings file; docs/settings.md lists its keys")
 	flag.Parse()
-	if err := node.Main(context.Background(), *path, os.Stderr); err != nil {
+	if err := node.Main(context.Background(), *path, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/pkg/bench/slopes/cluster.go
+++ b/pkg/bench/slopes/cluster.go
@@ -13,7 +13,7 @@
 
 	"github.com/apricotgrade/apricotgrade/pkg/core"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
-	"github.com/apricotgrade/apricotgrade/pkg/platform/memory"
+	"github.com/apricotgrade/apricotgrade/pkg/store/memory"
 )
 
 const (
--- a/pkg/bench/slopes/rig.go
+++ b/pkg/bench/slopes/rig.go
@@ -14,9 +14,9 @@
 
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 	entry "github.com/apricotgrade/apricotgrade/pkg/node"
-	"github.com/apricotgrade/apricotgrade/pkg/platform/memory"
 	"github.com/apricotgrade/apricotgrade/pkg/settings"
 	"github.com/apricotgrade/apricotgrade/pkg/standin"
+	"github.com/apricotgrade/apricotgrade/pkg/store/memory"
 )
 
 const (
--- a/pkg/core/controltest/cluster_test.go
+++ b/pkg/core/controltest/cluster_test.go
@@ -18,7 +18,7 @@
 	"github.com/apricotgrade/apricotgrade/pkg/core/membership"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 	"github.com/apricotgrade/apricotgrade/pkg/event"
-	"github.com/apricotgrade/apricotgrade/pkg/platform/memory"
+	"github.com/apricotgrade/apricotgrade/pkg/store/memory"
 )
 
 func TestControl(t *testing.T) {
--- a/pkg/core/core.go
+++ b/pkg/core/core.go
@@ -9,6 +9,9 @@
 	"github.com/apricotgrade/apricotgrade/pkg/core/admission"
 	"github.com/apricotgrade/apricotgrade/pkg/core/claims"
 	"github.com/apricotgrade/apricotgrade/pkg/core/configuration"
+	"github.com/apricotgrade/apricotgrade/pkg/core/dispatch"
+	"github.com/apricotgrade/apricotgrade/pkg/core/formation"
+	"github.com/apricotgrade/apricotgrade/pkg/core/inventory"
 	"github.com/apricotgrade/apricotgrade/pkg/core/lifecycle"
 	"github.com/apricotgrade/apricotgrade/pkg/core/membership"
 	"github.com/apricotgrade/apricotgrade/pkg/core/placement"
@@ -61,3 +64,21 @@
 
 // Tables returns the tables for reading. They must not be changed.
 func (n *Node) Tables() *state.Tables { return n.tables }
+
+// NewManaged returns a node of an installation whose platform holds the
+// configuration and lists the targets. It shares the request rows, the attempts
+// and the life cycle with other nodes, and differs in where its knowledge comes
+// from.
+func NewManaged(self state.Self, seed uint64) *Node {
+	t := state.NewTables(self, state.Switches{}, seed)
+	t.Managed = state.NewManaged()
+	return &Node{
+		tables: t,
+		systems: []state.System{
+			inventory.New(t),
+			formation.New(t),
+			dispatch.New(t),
+			lifecycle.New(t),
+		},
+	}
+}
--- /dev/null
+++ b/pkg/core/dispatch/budget.go
@@ -0,0 +1,71 @@
+package dispatch
+
+import "time"
+
+const (
+	// budgetWindow is the time over which requests and repeats are counted. The
+	// platform's bound is over 10 s.
+	budgetWindow  = 10 * time.Second
+	budgetBuckets = 20
+	// budgetShare is the part of a service's requests that may be sent again, by
+	// the platform's bound of 0.2 less a tenth for requests that nodes count in
+	// different windows.
+	budgetShare = 0.18
+	// budgetBase is the number of repeats over all nodes that the bound allows
+	// besides the share: 130, less a tenth.
+	budgetBase = 117.0
+)
+
+// repeatBudget bounds the repeats of one service at one node. The bound holds
+// for the system: each node has the share of its own requests and an equal part
+// of the base.
+type repeatBudget struct {
+	requests [budgetBuckets]int
+	repeats  [budgetBuckets]int
+	slot     int64
+}
+
+func (b *repeatBudget) advance(now time.Duration) int64 {
+	slot := int64(now / (budgetWindow / budgetBuckets))
+	for n := 0; b.slot < slot && n < budgetBuckets; n++ {
+		b.slot++
+		b.requests[b.slot%budgetBuckets], b.repeats[b.slot%budgetBuckets] = 0, 0
+	}
+	b.slot = max(b.slot, slot)
+	return b.slot % budgetBuckets
+}
+
+func (b *repeatBudget) arrived(now time.Duration) { b.requests[b.advance(now)]++ }
+
+func (b *repeatBudget) repeated(now time.Duration) { b.repeats[b.advance(now)]++ }
+
+// left returns how many more repeats the node may send now.
+func (b *repeatBudget) left(now time.Duration, nodes int) int {
+	b.advance(now)
+	requests, repeats := 0, 0
+	for i := range budgetBuckets {
+		requests += b.requests[i]
+		repeats += b.repeats[i]
+	}
+	return int(budgetShare*float64(requests)+budgetBase/float64(max(nodes, 1))) - repeats
+}
+
+// coldBudget bounds the requests that one node sends to one cold target. Each
+// node has an equal part of the rate that the target bears, so that the sum
+// holds without contact between the nodes.
+type coldBudget struct {
+	tokens float64
+	at     time.Duration
+}
+
+// take reports whether a request may be sent now, and counts it.
+func (b *coldBudget) take(now time.Duration, rate float64) bool {
+	burst := max(rate/4, 1)
+	b.tokens = min(b.tokens+rate*(now-b.at).Seconds(), burst)
+	b.at = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/pkg/core/formation/formation.go
@@ -0,0 +1,192 @@
+// Package formation forms replica groups of hosts, keeps them whole and stages
+// models on spare hosts. One node does it at a time, under a lease; the others
+// follow what the hosts report, so that any of them can take over.
+package formation
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	"github.com/apricotgrade/apricotgrade/pkg/event"
+)
+
+const (
+	// name is this system's name for replies of the store.
+	name = "formation"
+	// joinSlack is how much longer than expected a join may take. Hosts report at
+	// once, and the list of instances lags by less than a second.
+	joinSlack = 2 * time.Second
+	// rejoinTime is how long a host takes to join a group of the model that it
+	// served last.
+	rejoinTime = 200 * time.Millisecond
+	// openRetry is the pause before a leader is told again to open.
+	openRetry = 150 * time.Millisecond
+	// closeTime bounds how long a leader may finish its work before it is cut off.
+	// A member that drains stays for 10 s at most.
+	closeTime = 6 * time.Second
+	// loadPause is the factor by which the first loads before traffic are faster.
+	loadsBeforeTraffic = 0.1
+)
+
+// System reads Managed; it writes the lease in Leases. Its orders go out as
+// HostOrder.
+type System struct {
+	t *state.Tables
+	m *state.Managed
+
+	lease  lease
+	hosts  map[state.HostID]*host
+	groups map[state.GroupID]*group
+	// plans are the groups that this node is forming, by name.
+	plans     map[state.GroupID]*plan
+	orders    map[uint64]*host
+	nextOrder uint64
+	nextEpoch uint64
+	// loads are the start times of loads of weights.
+	loads   []time.Duration
+	nextLog time.Duration
+}
+
+// New returns the formation system.
+func New(t *state.Tables) *System {
+	return &System{
+		t: t, m: t.Managed, hosts: map[state.HostID]*host{}, groups: map[state.GroupID]*group{},
+		plans: map[state.GroupID]*plan{}, orders: map[uint64]*host{},
+	}
+}
+
+// Step implements state.System.
+func (s *System) Step(now time.Duration, in state.Input, out *state.Outbox) {
+	act := false
+	switch in := in.(type) {
+	case state.RowsSeen:
+		act = in.Table == state.InstanceTable
+	case state.HostReport:
+		s.reported(now, in, out)
+		act = true
+	case state.HostOrderResult:
+		s.answered(now, in, out)
+		act = true
+	case state.StoreReply:
+		s.leaseReply(now, in, out)
+	case state.Tick:
+		s.keepLease(now, out)
+		act = true
+	}
+	if !act || s.m.Catalogue == nil || !s.m.Tables[state.InstanceTable].Known {
+		return
+	}
+	s.observe(now)
+	if s.holds(now) {
+		s.act(now, out)
+	}
+}
+
+// act does what the state of the hosts asks for.
+func (s *System) act(now time.Duration, out *state.Outbox) {
+	s.probeSuspects(now, out)
+	for _, id := range sortedKeys(s.plans) {
+		s.advance(now, s.plans[id], out)
+	}
+	for _, id := range sortedKeys(s.groups) {
+		s.maintain(now, s.groups[id], out)
+	}
+	for i := range s.m.Catalogue.Services {
+		service := &s.m.Catalogue.Services[i]
+		if service.Engine != nil {
+			s.formGroups(now, service, out)
+			s.stageSpares(now, service, out)
+		}
+	}
+}
+
+// plan is a group that this node is forming.
+type plan struct {
+	id      state.GroupID
+	epoch   uint64
+	service string
+	model   *state.ModelProfile
+	members []state.HostID
+	// joined counts the members that have begun to join.
+	joined  map[state.HostID]bool
+	since   time.Duration
+	expect  time.Duration
+	opening bool
+	openAt  time.Duration
+}
+
+// advance moves a group in formation on: all members join, all report ready,
+// the leader opens.
+func (s *System) advance(now time.Duration, p *plan, out *state.Outbox) {
+	if now-p.since > p.expect+joinSlack {
+		s.abandon(now, p, "timeout", out)
+		return
+	}
+	ready := 0
+	for _, id := range p.members {
+		h := s.hosts[id]
+		if h == nil || h.row == nil || h.dead || h.row.Draining {
+			s.abandon(now, p, "member lost", out)
+			return
+		}
+		if !p.joined[id] {
+			s.order(now, h, state.HostOrder{
+				Operation: state.HostJoin, Group: p.id, Epoch: p.epoch, Model: p.model.Name, Members: p.members,
+			}, out)
+			continue
+		}
+		in := h.row.Membership
+		if in.Group != p.id || in.Epoch != p.epoch {
+			continue
+		}
+		switch in.Phase {
+		case state.MemberReady:
+			ready++
+		case state.MemberOpen:
+			delete(s.plans, p.id)
+			return
+		}
+	}
+	if ready < len(p.members) || p.opening || now < p.openAt {
+		return
+	}
+	leader := s.hosts[p.members[0]]
+	if s.order(now, leader, state.HostOrder{Operation: state.HostOpen, Group: p.id, Epoch: p.epoch}, out) {
+		p.opening = true
+		out.Log(event.GroupOpened, slog.String("group", string(p.id)), slog.Uint64("epoch", p.epoch),
+			slog.String("model", p.model.Name), slog.Duration("took", now-p.since))
+	}
+}
+
+// abandon gives up a group in formation. Its members are free: none of them
+// serves, and their next group has a higher epoch.
+func (s *System) abandon(now time.Duration, p *plan, reason string, out *state.Outbox) {
+	delete(s.plans, p.id)
+	out.Log(event.GroupGivenUp, slog.String("group", string(p.id)), slog.Uint64("epoch", p.epoch),
+		slog.String("reason", reason), slog.Duration("age", now-p.since))
+	for _, id := range p.members {
+		if h := s.hosts[id]; h != nil {
+			h.plan = nil
+		}
+	}
+}
+
+func (s *System) newEpoch() uint64 {
+	// Epochs of a later holder of the lease are higher, since its fence is.
+	s.nextEpoch++
+	return uint64(s.lease.row.Fence)<<epochBits + s.nextEpoch
+}
+
+// epochBits leaves room for the groups of one holder.
+const epochBits = 16
+
+func sortedKeys[K ~string, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/pkg/core/formation/group.go
@@ -0,0 +1,312 @@
+package formation
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	"github.com/apricotgrade/apricotgrade/pkg/event"
+)
+
+const (
+	// standTime is how long the leader of a group whose member is lost stands
+	// still before it breaks by itself, with a margin. A leader that nobody
+	// reaches may still be in that state. The platform gives 5 s.
+	standTime = 5500 * time.Millisecond
+	// stuckAfter is how long a group may be silent while all its members answer
+	// questions before it is formed anew: the leader does not reach a member.
+	stuckAfter = 900 * time.Millisecond
+	// unknownMember is how long a member of an open group may be missing from the
+	// list without this node ever having seen it.
+	unknownMember = time.Second
+	// forgetGroup is how long a group is remembered that no host names.
+	forgetGroup = 20 * time.Second
+)
+
+// group is a replica group as its hosts report it, also one whose entries have
+// lapsed meanwhile.
+type group struct {
+	id      state.GroupID
+	epoch   uint64
+	service string
+	model   string
+	// members are ordered by rank; an empty id stands for a member never seen.
+	members []state.HostID
+	seenAt  time.Duration
+	// firstAt is when the group was first seen.
+	firstAt time.Duration
+	// open is set once the leader was seen open.
+	open bool
+	// retiring is set once the group is to end; cut is whether its work is cut off.
+	retiring  bool
+	cut       bool
+	retiredAt time.Duration
+	closed    bool
+	// reported is the phase in the leader's last report.
+	reported   state.MemberPhase
+	reportedAt time.Duration
+	// silentSince is when the group was first found silent; 0 when it is not.
+	silentSince time.Duration
+}
+
+func (g *group) leader() state.HostID {
+	if len(g.members) == 0 {
+		return ""
+	}
+	return g.members[0]
+}
+
+// observe takes what the list of instances says of hosts and groups.
+func (s *System) observe(now time.Duration) {
+	services := map[string]*state.ServiceProfile{}
+	for i := range s.m.Catalogue.Services {
+		services[s.m.Catalogue.Services[i].Name] = &s.m.Catalogue.Services[i]
+	}
+	for id, in := range s.m.Instances.All() {
+		if p := services[in.Service]; p == nil || p.Engine == nil {
+			continue
+		}
+		h := s.hosts[id]
+		if h == nil {
+			h = &host{id: id}
+			s.hosts[id] = h
+		}
+		if h.born != in.Born {
+			h.sequenced, h.dead, h.refused, h.staging, h.sent = false, false, false, "", nil
+		}
+		h.row, h.address, h.domain, h.dc, h.born = in, in.Address, in.Domain, in.DataCentre, in.Born
+		if h.staging != "" && slices.Contains(in.Staged, h.staging) {
+			h.staging = ""
+		}
+		s.observeMember(now, in)
+	}
+	for id, h := range s.hosts {
+		if s.m.Instances.Get(id) == nil {
+			h.row = nil
+		}
+	}
+	for id, g := range s.groups {
+		if now-g.seenAt > forgetGroup {
+			delete(s.groups, id)
+		}
+	}
+}
+
+func (s *System) observeMember(now time.Duration, in *state.Instance) {
+	m := in.Membership
+	if m.Group == "" {
+		return
+	}
+	g := s.groups[m.Group]
+	if g == nil || g.epoch < m.Epoch {
+		g = &group{id: m.Group, epoch: m.Epoch, service: in.Service, firstAt: now}
+		s.groups[m.Group] = g
+	}
+	if g.epoch != m.Epoch {
+		return
+	}
+	g.seenAt = now
+	for len(g.members) <= m.Rank {
+		g.members = append(g.members, "")
+	}
+	g.members[m.Rank] = in.ID
+	if in.Model != "" {
+		g.model = in.Model
+	}
+	if m.Rank == 0 && m.Phase == state.MemberOpen {
+		g.open = true
+	}
+}
+
+// phase returns the phase of a group's leader. It is MemberNone once the leader
+// has left the group, and known is false while nobody can tell.
+func (s *System) phase(now time.Duration, g *group) (phase state.MemberPhase, known bool) {
+	h := s.hosts[g.leader()]
+	switch {
+	case h == nil:
+		return state.MemberNone, g.leader() != ""
+	case h.refused:
+		return state.MemberNone, true
+	case h.dead && (h.row == nil || now-h.deadAt > standTime):
+		return state.MemberNone, true
+	case h.row != nil:
+		if h.row.Membership.Group != g.id || h.row.Membership.Epoch != g.epoch {
+			return state.MemberNone, true
+		}
+		return h.row.Membership.Phase, true
+	case g.reportedAt > 0 && now-g.reportedAt < 2*probePeriod:
+		return g.reported, true
+	}
+	return state.MemberOpen, false
+}
+
+// maintain keeps an open group whole, or ends it.
+func (s *System) maintain(now time.Duration, g *group, out *state.Outbox) {
+	if s.plans[g.id] != nil {
+		return
+	}
+	phase, known := s.phase(now, g)
+	leader := s.hosts[g.leader()]
+	if leader != nil && leader.row == nil && !leader.dead && g.open && phase != state.MemberReady && phase != state.MemberNone {
+		s.probe(now, leader, out)
+	}
+	switch {
+	case phase == state.MemberNone:
+		if g.retiring && !g.closed {
+			g.closed = true
+			out.Log(event.GroupReleased, slog.String("group", string(g.id)), slog.String("reason", "leader gone"))
+		}
+		return
+	case phase == state.MemberReady && !g.open && !g.retiring:
+		s.adopt(now, g, out)
+		return
+	case phase != state.MemberOpen && phase != state.MemberClosing || !known:
+		return
+	}
+	if !g.retiring {
+		if reason, cut := s.defect(now, g, out); reason != "" {
+			g.retiring, g.cut, g.retiredAt = true, cut, now
+			out.Log(event.GroupRetired, slog.String("group", string(g.id)), slog.Uint64("epoch", g.epoch),
+				slog.String("reason", reason), slog.Bool("cut", cut))
+		}
+	}
+	if g.retiring {
+		s.retire(now, g, leader, phase, out)
+	}
+}
+
+// defect returns why a group must end, and whether its work is to be cut off:
+// a group that has lost a member makes nothing any more.
+func (s *System) defect(now time.Duration, g *group, out *state.Outbox) (reason string, cut bool) {
+	draining := false
+	size := s.size(g)
+	for rank := range max(size, len(g.members)) {
+		if rank >= len(g.members) || g.members[rank] == "" {
+			if now-g.firstAt > unknownMember {
+				return "member never seen", true
+			}
+			continue
+		}
+		h := s.hosts[g.members[rank]]
+		switch {
+		case h == nil:
+			return "member gone", true
+		case h.dead && rank > 0:
+			return "member does not answer", true
+		case h.row == nil:
+			// Its entry lapsed; it may be cut off from the store only.
+			s.probe(now, h, out)
+			draining = draining || rank == 0
+		case h.row.Membership.Group != g.id || h.row.Membership.Epoch != g.epoch:
+			return "member left", true
+		case h.row.Draining:
+			draining = true
+		}
+	}
+	if g.silentSince > 0 && now-g.silentSince > stuckAfter {
+		return "silent", true
+	}
+	if draining {
+		return "member leaves", false
+	}
+	return "", false
+}
+
+func (s *System) size(g *group) int {
+	for i := range s.m.Catalogue.Services {
+		service := &s.m.Catalogue.Services[i]
+		if service.Name != g.service || service.Engine == nil {
+			continue
+		}
+		if m := service.Engine.Model(g.model); m != nil {
+			return m.Size
+		}
+	}
+	return len(g.members)
+}
+
+// retire closes the leader of a group, so that its members may join others.
+func (s *System) retire(now time.Duration, g *group, leader *host, phase state.MemberPhase, out *state.Outbox) {
+	if !g.cut && now-g.retiredAt > closeTime {
+		g.cut, g.closed = true, false
+	}
+	if leader == nil || g.closed && now-g.retiredAt < orderTimeout {
+		return
+	}
+	if phase == state.MemberClosing && !g.cut {
+		return
+	}
+	operation := state.HostCloseQueue
+	if g.cut {
+		operation = state.HostCloseNow
+	}
+	s.order(now, leader, state.HostOrder{Operation: operation, Group: g.id, Epoch: g.epoch}, out)
+}
+
+// adopt goes on with a group that an earlier holder of the lease left ready.
+func (s *System) adopt(now time.Duration, g *group, out *state.Outbox) {
+	engine := s.engine(g.service)
+	if engine == nil {
+		return
+	}
+	model := engine.Model(g.model)
+	if model == nil || len(g.members) != model.Size {
+		return
+	}
+	for _, id := range g.members {
+		h := s.hosts[id]
+		if h == nil || h.row == nil || h.plan != nil || h.dead || h.row.Draining ||
+			h.row.Membership.Group != g.id || h.row.Membership.Epoch != g.epoch || h.row.Membership.Phase != state.MemberReady {
+			return
+		}
+	}
+	p := &plan{
+		id: g.id, epoch: g.epoch, service: g.service, model: model, members: slices.Clone(g.members),
+		joined: map[state.HostID]bool{}, since: now, expect: engine.OpenTime,
+	}
+	for _, id := range p.members {
+		p.joined[id], s.hosts[id].plan = true, p
+	}
+	s.plans[p.id] = p
+	out.Log(event.GroupJoining, slog.String("group", string(p.id)), slog.String("reason", "left by an earlier holder"))
+}
+
+func (s *System) engine(service string) *state.EngineProfile {
+	for i := range s.m.Catalogue.Services {
+		if s.m.Catalogue.Services[i].Name == service {
+			return s.m.Catalogue.Services[i].Engine
+		}
+	}
+	return nil
+}
+
+// probeSuspects asks the members of groups that callers' streams show to be
+// silent. Nothing else is probed: questions are charged and take a slot.
+func (s *System) probeSuspects(now time.Duration, out *state.Outbox) {
+	for _, id := range sortedKeys(s.groups) {
+		g := s.groups[id]
+		_, own := s.m.Stalled[g.leader()]
+		_, peers := s.m.PeerStalled[g.leader()]
+		if !own && !peers {
+			g.silentSince = 0
+			continue
+		}
+		if g.silentSince == 0 {
+			g.silentSince = now
+		}
+		if g.retiring {
+			continue
+		}
+		for _, member := range g.members {
+			if h := s.hosts[member]; h != nil && !h.dead {
+				s.probe(now, h, out)
+			}
+		}
+	}
+	for _, id := range sortedKeys(s.hosts) {
+		if h := s.hosts[id]; h.dead && now-h.probedAt > deadProbe && (h.row != nil || now-h.deadAt < standTime) {
+			s.probe(now, h, out)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/core/formation/host.go
@@ -0,0 +1,198 @@
+package formation
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	"github.com/apricotgrade/apricotgrade/pkg/event"
+)
+
+const (
+	// probePeriod is the least time between two questions to a host.
+	probePeriod = 300 * time.Millisecond
+	// deadProbe is the same for a host that did not answer.
+	deadProbe = time.Second
+	// orderTimeout is when an order without a result counts as lost. It is above
+	// the bounds of the daemon.
+	orderTimeout = 4 * time.Second
+	// doubtTime is for how long a host whose answer to an order was lost gets no
+	// other order. The order can be carried out later only while the host has
+	// begun no other, so the next order ends the doubt.
+	doubtTime = 200 * time.Millisecond
+)
+
+// host is what this node knows of a host besides its row.
+type host struct {
+	id state.HostID
+	// row is nil while the host is not in the list; address and domain are those
+	// of the last row.
+	row     *state.Instance
+	address string
+	domain  state.DomainID
+	dc      state.DataCentre
+	born    int64
+	// sequence is the number of orders that the host has begun, known from its
+	// report and counted on since.
+	sequence  uint64
+	sequenced bool
+	// sent is the order in flight, nil for none.
+	sent   *state.HostOrder
+	sentAt time.Duration
+	// probedAt is when the last question was sent; probing until its answer.
+	probing  bool
+	probedAt time.Duration
+	// dead is set once the host did not answer a question. refused is set when it
+	// has no listener, so that no process runs there.
+	dead    bool
+	refused bool
+	deadAt  time.Duration
+	pace    float64
+	plan    *plan
+	// staging is the model that the host was told to stage.
+	staging   string
+	stagingAt time.Duration
+	waitUntil time.Duration
+}
+
+// order sends an order to a host. It returns false when the host is not ready
+// for one: an order is in flight, or the number of its orders is not known.
+func (s *System) order(now time.Duration, h *host, o state.HostOrder, out *state.Outbox) bool {
+	if h.sent != nil && now-h.sentAt < orderTimeout || now < h.waitUntil {
+		return false
+	}
+	if !h.sequenced {
+		s.probe(now, h, out)
+		return false
+	}
+	s.nextOrder++
+	o.ID, o.Host, o.Address, o.Fence, o.Sequence = s.nextOrder, h.id, h.address, s.lease.row.Fence, h.sequence
+	h.sent, h.sentAt = &o, now
+	s.orders[o.ID] = h
+	out.Add(o)
+	return true
+}
+
+func (s *System) probe(now time.Duration, h *host, out *state.Outbox) {
+	if h.probing && now-h.probedAt < orderTimeout || now-h.probedAt < probePeriod && h.probedAt > 0 && h.sequenced {
+		return
+	}
+	h.probing, h.probedAt = true, now
+	out.Add(state.FetchHostReport{Host: h.id, Address: h.address, SentAt: now})
+}
+
+// answered takes the result of an order.
+func (s *System) answered(now time.Duration, in state.HostOrderResult, out *state.Outbox) {
+	h := s.orders[in.ID]
+	delete(s.orders, in.ID)
+	if h == nil || h.sent == nil || h.sent.ID != in.ID {
+		return
+	}
+	o := h.sent
+	h.sent = nil
+	out.Log(event.HostOrdered, slog.String("host", string(h.id)), slog.String("operation", operationNames[o.Operation]),
+		slog.String("group", string(o.Group)), slog.Uint64("epoch", o.Epoch), slog.String("outcome", outcomeNames[in.Outcome]),
+		slog.Duration("took", now-h.sentAt))
+	switch in.Outcome {
+	case state.OrderBegun:
+		h.sequence++
+		s.begun(now, h, o)
+	case state.OrderHeld:
+		s.begun(now, h, o)
+	case state.OrderFenced:
+		h.sequenced = false
+		if s.lease.held {
+			s.lost(now, "a host has seen a higher fence", out)
+		}
+	case state.OrderUnreached:
+		s.unresponsive(now, h, false, out)
+		s.failed(now, h, o)
+	case state.OrderUnknown:
+		h.sequenced, h.waitUntil = false, now+doubtTime
+		s.failed(now, h, o)
+	default:
+		h.sequenced = false
+		s.failed(now, h, o)
+	}
+}
+
+func (s *System) begun(now time.Duration, h *host, o *state.HostOrder) {
+	switch o.Operation {
+	case state.HostJoin:
+		if p := h.plan; p != nil && p.id == o.Group && p.epoch == o.Epoch {
+			p.joined[h.id] = true
+		}
+	case state.HostStage:
+		h.staging, h.stagingAt = o.Model, now
+	case state.HostCloseNow, state.HostCloseQueue:
+		if g := s.groups[o.Group]; g != nil && g.epoch == o.Epoch {
+			g.closed = true
+		}
+	}
+}
+
+func (s *System) failed(now time.Duration, h *host, o *state.HostOrder) {
+	switch o.Operation {
+	case state.HostOpen:
+		if p := s.plans[o.Group]; p != nil {
+			p.opening, p.openAt = false, now+openRetry
+		}
+	case state.HostStage:
+		h.waitUntil = max(h.waitUntil, now+time.Second)
+	}
+}
+
+// reported takes the answer of a host to a question.
+func (s *System) reported(now time.Duration, in state.HostReport, out *state.Outbox) {
+	h := s.hosts[in.Host]
+	if h == nil {
+		return
+	}
+	h.probing = false
+	if !in.OK {
+		s.unresponsive(now, h, in.Refused, out)
+		return
+	}
+	if h.dead {
+		h.dead, h.refused = false, false
+		out.Log(event.HostResponsive, slog.String("host", string(h.id)))
+	}
+	h.pace = in.Pace
+	if h.sent == nil && (in.Born == 0 || h.born == 0 || in.Born == h.born) {
+		h.sequence, h.sequenced = in.Sequence, true
+	}
+	for _, g := range s.groups {
+		if g.leader() == h.id && g.epoch == in.Membership.Epoch && g.id == in.Membership.Group {
+			g.reported, g.reportedAt = in.Membership.Phase, in.SentAt
+		}
+	}
+}
+
+func (s *System) unresponsive(now time.Duration, h *host, refused bool, out *state.Outbox) {
+	h.sequenced = false
+	h.refused = h.refused || refused
+	if !h.dead {
+		h.dead, h.deadAt = true, now
+		out.Log(event.HostUnresponsive, slog.String("host", string(h.id)), slog.Bool("refused", refused))
+	}
+}
+
+// forgetOrders drops what was known of the orders of hosts when this node took
+// the lease: an earlier holder may have given others.
+func (s *System) forgetOrders() {
+	for _, h := range s.hosts {
+		h.sequenced, h.sent, h.plan = false, nil, nil
+	}
+	clear(s.orders)
+	clear(s.plans)
+}
+
+var operationNames = map[state.HostOperation]string{
+	state.HostJoin: "join", state.HostOpen: "open", state.HostCloseQueue: "close_queue", state.HostCloseNow: "close_now",
+	state.HostLeave: "leave", state.HostStage: "stage",
+}
+
+var outcomeNames = map[state.OrderOutcome]string{
+	state.OrderBegun: "begun", state.OrderHeld: "held", state.OrderConflict: "conflict", state.OrderFenced: "fenced",
+	state.OrderInvalid: "invalid", state.OrderUnreached: "unreached", state.OrderUnknown: "unknown",
+}
--- /dev/null
+++ b/pkg/core/formation/lease.go
@@ -0,0 +1,188 @@
+package formation
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	"github.com/apricotgrade/apricotgrade/pkg/event"
+)
+
+const (
+	// leaseTime is for how long the holder acts after the send time of its last
+	// renewal.
+	leaseTime = 2 * time.Second
+	// renewPeriod leaves three tries within the lease.
+	renewPeriod = 500 * time.Millisecond
+	// renewRetry is the pause after a renewal without an answer.
+	renewRetry = 200 * time.Millisecond
+	// takeAfter is how long a renewal must be missing before another node takes
+	// over; takeUnheard is the same where the holder's bulletins are missing too.
+	// An old holder that still acts is stopped by the fences of the hosts.
+	takeAfter   = 2 * time.Second
+	takeUnheard = 1100 * time.Millisecond
+	// rankDelay keeps the candidates apart in time.
+	rankDelay = 120 * time.Millisecond
+	// replyTimeout is when a call without a reply counts as lost. It is above the
+	// daemon's own bound.
+	replyTimeout = 3 * time.Second
+)
+
+// lease is this node's side of the formation lease.
+type lease struct {
+	row      state.LeaseRow
+	revision uint64
+	// held is set while this node is the holder as far as it knows.
+	held      bool
+	heldUntil time.Duration
+	call      uint64
+	callAt    time.Duration
+	taking    bool
+	next      state.LeaseRow
+	tryAt     time.Duration
+}
+
+// holds reports whether this node may give orders.
+func (s *System) holds(now time.Duration) bool { return s.lease.held && now < s.lease.heldUntil }
+
+// keepLease renews, takes or releases the lease.
+func (s *System) keepLease(now time.Duration, out *state.Outbox) {
+	l := &s.lease
+	if !s.m.Tables[state.NodeTable].Known {
+		return
+	}
+	if seen := &s.m.Lease; l.held && seen.Row.Fence > l.row.Fence {
+		s.lost(now, "a higher fence was seen", out)
+	}
+	if l.held && now >= l.heldUntil {
+		s.lost(now, "no renewal was answered in time", out)
+	}
+	if l.call != 0 && now-l.callAt < replyTimeout || now < l.tryAt {
+		return
+	}
+	switch {
+	case s.t.Draining && l.held:
+		s.write(now, state.LeaseRow{Fence: l.row.Fence, Renewal: l.row.Renewal + 1}, l.revision, false, out)
+	case s.t.Draining:
+	case l.held:
+		row := l.row
+		row.Renewal++
+		s.write(now, row, l.revision, false, out)
+	case s.mayTake(now):
+		s.write(now, state.LeaseRow{
+			Holder: s.t.Self.ID, Incarnation: s.t.Self.Incarnation, Fence: s.m.Lease.Row.Fence + 1, Duration: leaseTime,
+		}, s.m.Lease.Revision, true, out)
+	}
+}
+
+// mayTake reports whether the lease is free as far as this node can see. The
+// write has the row's revision as its condition, so a wrong guess changes
+// nothing.
+func (s *System) mayTake(now time.Duration) bool {
+	seen := &s.m.Lease
+	if s.m.Catalogue == nil || !s.t.Config.Fresh {
+		return false
+	}
+	if seen.Revision == 0 || seen.Row.Holder == "" || seen.Row.Holder == s.t.Self.ID {
+		return true
+	}
+	wait := takeAfter
+	if _, heard := s.m.Heard[seen.Row.Holder]; !heard {
+		wait = takeUnheard
+	}
+	rank := max(slices.Index(s.m.Nodes.Keys(), s.t.Self.ID), 0)
+	return now-seen.SeenAt > wait+time.Duration(rank)*rankDelay
+}
+
+func (s *System) write(now time.Duration, row state.LeaseRow, revision uint64, taking bool, out *state.Outbox) {
+	l := &s.lease
+	l.callAt, l.taking, l.next = now, taking, row
+	l.tryAt = now + renewPeriod
+	l.call = s.t.Store(out, name, state.StoreRequest{Transact: &state.Transaction{
+		Conditions: []state.Condition{{Key: state.KeyFormationLease, Revision: revision}},
+		Writes:     []state.Write{{Key: state.KeyFormationLease, Value: state.Encode(row)}},
+	}})
+}
+
+func (s *System) leaseReply(now time.Duration, in state.StoreReply, out *state.Outbox) {
+	l := &s.lease
+	if !s.t.OwnsReply(name, in) || in.ID != l.call {
+		return
+	}
+	l.call = 0
+	switch {
+	case in.Result == state.StoreOK && len(in.Rows) == 1:
+		s.granted(l.next, in.Rows[0].Revision, l.callAt, out)
+	case in.Result == state.StoreConflict:
+		s.conflict(now, in.Rows, out)
+	default:
+		l.tryAt = now + renewRetry
+	}
+}
+
+func (s *System) granted(row state.LeaseRow, revision uint64, at time.Duration, out *state.Outbox) {
+	l := &s.lease
+	l.row, l.revision = row, revision
+	if row.Holder != s.t.Self.ID {
+		l.held = false
+		s.setHeldUntil(0)
+		out.Log(event.LeaseReleased, slog.Uint64("fence", uint64(row.Fence)))
+		return
+	}
+	if !l.held {
+		l.held = true
+		s.forgetOrders()
+		out.Log(event.FormationLeaseTaken, slog.Uint64("fence", uint64(row.Fence)))
+	}
+	s.setHeldUntil(at + leaseTime)
+}
+
+// conflict reads the present row: a write of this node whose answer was lost
+// shows there, and any other one ends its hold.
+func (s *System) conflict(now time.Duration, rows []state.StoreRow, out *state.Outbox) {
+	l := &s.lease
+	for _, r := range rows {
+		var row state.LeaseRow
+		if r.Key != state.KeyFormationLease {
+			continue
+		}
+		if err := state.Decode(r.Value, &row); err != nil {
+			out.Log(event.RowUnreadable, slog.String("key", r.Key), slog.String("error", err.Error()))
+			continue
+		}
+		if row.Holder == s.t.Self.ID && row.Incarnation == s.t.Self.Incarnation && (!l.held || row.Fence == l.row.Fence) {
+			s.granted(row, r.Revision, l.callAt, out)
+			l.tryAt = now
+			return
+		}
+		if r.Revision > s.m.Lease.Revision {
+			s.m.Lease = state.FormationLease{Row: row, Revision: r.Revision, SeenAt: now}
+		}
+	}
+	if l.held {
+		s.lost(now, "another node has the lease", out)
+	}
+}
+
+func (s *System) lost(now time.Duration, reason string, out *state.Outbox) {
+	s.lease.held = false
+	s.setHeldUntil(0)
+	s.lease.tryAt = now + renewRetry
+	for _, id := range sortedKeys(s.plans) {
+		delete(s.plans, id)
+	}
+	for _, h := range s.hosts {
+		h.plan = nil
+	}
+	out.Log(event.FormationLeaseLost, slog.String("reason", reason), slog.Uint64("fence", uint64(s.lease.row.Fence)))
+}
+
+// setHeldUntil also writes the row of Leases, which the lifecycle system and
+// the inventory system read.
+func (s *System) setHeldUntil(until time.Duration) {
+	s.lease.heldUntil = until
+	s.t.Leases.Put(state.FormationLeaseName, &state.Lease{
+		DataCentre: state.FormationLeaseName, Row: s.lease.row, Revision: s.lease.revision, HeldUntil: until,
+	})
+}
--- a/pkg/core/state/input.go
+++ b/pkg/core/state/input.go
@@ -145,6 +145,8 @@
 	// Resume is set when the caller resumes a generation: the request goes to
 	// that target or to none.
 	Resume *ResumePoint
+	// Routed is set for a request whose host name and path choose its route.
+	Routed *RoutedRequest
 }
 
 // Repeatable reports whether the request may be sent again after it may have
@@ -176,6 +178,10 @@
 	AttemptFirstByte AttemptStage = iota
 	// AttemptEnded is fed once for each attempt, as its last event.
 	AttemptEnded
+	// AttemptStalled is fed when a stream has carried nothing for the time that
+	// StartAttempt.StallAfter gives, AttemptFlowing when it carries events again.
+	AttemptStalled
+	AttemptFlowing
 )
 
 // AttemptFailure says why an attempt ended without a whole answer.
@@ -218,6 +224,15 @@
 	PassedOn bool
 	// Answer is the whole answer of a request with Once.
 	Answer *Answer
+	// Misdirected is set when another instance answers at the target's address.
+	Misdirected bool
+	// AtFault is the host that a refusal names as the cause.
+	AtFault HostID
+	// Held is set when a whole answer of the target is held back until the reply,
+	// so that it can be given to the caller if no further attempt follows.
+	Held bool
+	// Events is the number of events of a stream that arrived in this attempt.
+	Events int
 }
 
 // CallerGone says that a caller closed its connection.
--- a/pkg/core/state/message.go
+++ b/pkg/core/state/message.go
@@ -19,6 +19,9 @@
 	OutcomeAnswer  *OutcomeAnswer  `cbor:"9,keyasint,omitempty"`
 	GroupNotice    *GroupNotice    `cbor:"10,keyasint,omitempty"`
 	GroupRequest   *GroupRequest   `cbor:"11,keyasint,omitempty"`
+	Bulletin       *Bulletin       `cbor:"12,keyasint,omitempty"`
+	RowsRequest    *RowsRequest    `cbor:"13,keyasint,omitempty"`
+	Rows           *RowsSeen       `cbor:"14,keyasint,omitempty"`
 }
 
 // GroupRequest asks for a GroupNotice of each replica group that the peer
--- a/pkg/core/state/output.go
+++ b/pkg/core/state/output.go
@@ -128,6 +128,15 @@
 	// since then, as in a paused process, is not sent: the evidence behind the
 	// decision has ended.
 	DecidedAt time.Duration
+	// Instance is the process that must answer, Account the client account that
+	// it is told. Both are set for routed requests only.
+	Instance HostID
+	Account  AccountID
+	// StallAfter is the silence after which a stream counts as stalled; 0 turns
+	// the report off.
+	StallAfter time.Duration
+	// FirstAfter is the same for the time until the first event.
+	FirstAfter time.Duration
 }
 
 // CancelAttempt stops an attempt.
@@ -144,6 +153,8 @@
 	Answer  *Answer
 	// Repeated is set when Answer was stored by an earlier request.
 	Repeated bool
+	// Held is set when the caller gets the answer that the last attempt held.
+	Held bool
 }
 
 // OutcomeFound answers an OutcomeAsked. Answer.Known is false when no node
--- a/pkg/core/state/row.go
+++ b/pkg/core/state/row.go
@@ -340,6 +340,12 @@
 	// Next is what follows the end of attempt Finished, not before NextAt.
 	Next   NextStep
 	NextAt time.Duration
+	// Route is the route of a routed request.
+	Route *Route
+	// Account is the client account of a routed request; empty without a key.
+	Account AccountID
+	// Service is the service that a routed request goes to.
+	Service string
 }
 
 // ClaimPhase is the phase of a claim.
--- a/pkg/core/state/tables.go
+++ b/pkg/core/state/tables.go
@@ -25,6 +25,8 @@
 	Requests *Table[RequestID, Request]
 	Claims   *Table[string, Claim]
 	Counters Counters
+	// Managed is set where the platform holds the configuration.
+	Managed *Managed
 
 	// Ready is written by the lifecycle system.
 	Ready bool
--- a/pkg/core/world_test.go
+++ b/pkg/core/world_test.go
@@ -18,7 +18,7 @@
 	"github.com/apricotgrade/apricotgrade/pkg/core/retry"
 	"github.com/apricotgrade/apricotgrade/pkg/core/routing"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
-	"github.com/apricotgrade/apricotgrade/pkg/platform/memory"
+	"github.com/apricotgrade/apricotgrade/pkg/store/memory"
 )
 
 func TestRequests(t *testing.T) {
--- a/pkg/daemon/call.go
+++ b/pkg/daemon/call.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
-	"github.com/apricotgrade/apricotgrade/pkg/platform"
+	"github.com/apricotgrade/apricotgrade/pkg/store"
 )
 
 // storeTimeout bounds a call to the platform. A call that takes longer has an
@@ -40,6 +40,13 @@
 		res.Order, res.Host = out.Order, out.Host
 		res.OK = res.OK && err == nil
 		d.Feed(res)
+	default:
+		if d.carrier == nil {
+			return
+		}
+		if in := d.carrier.Carry(ctx, out); in != nil {
+			d.Feed(in)
+		}
 	}
 }
 
@@ -50,7 +57,7 @@
 	var err error
 	switch {
 	case req.Transact != nil:
-		var res platform.Result
+		var res store.Result
 		res, err = d.platform.Transact(ctx, *req.Transact)
 		reply.Result, reply.Rows = res.Result, res.Rows
 	case req.Scan != "":
@@ -64,7 +71,7 @@
 	}
 	if err != nil {
 		reply.Result = state.StoreUnknown
-		if errors.Is(err, platform.ErrUnavailable) {
+		if errors.Is(err, store.ErrUnavailable) {
 			reply.Result = state.StoreUnavailable
 		}
 	}
@@ -90,5 +97,9 @@
 		d.Feed(state.LookupResult{Account: out.Account, Key: out.Key})
 	case state.EngineOrder:
 		d.Feed(state.EngineOrderResult{Order: out.Order, Host: out.Host})
+	case state.HostOrder:
+		d.Feed(state.HostOrderResult{ID: out.ID, Host: out.Host, Outcome: state.OrderConflict})
+	case state.FetchHostReport:
+		d.Feed(state.HostReport{Host: out.Host, SentAt: out.SentAt})
 	}
 }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -12,7 +12,7 @@
 	"github.com/apricotgrade/apricotgrade/pkg/core"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 	"github.com/apricotgrade/apricotgrade/pkg/event"
-	"github.com/apricotgrade/apricotgrade/pkg/platform"
+	"github.com/apricotgrade/apricotgrade/pkg/store"
 	"github.com/apricotgrade/apricotgrade/pkg/target"
 )
 
@@ -27,6 +27,12 @@
 	Reply(state.Reply)
 }
 
+// Carrier carries out outputs that concern hosts of the platform. It returns
+// the input that answers an output, or nil for one that it does not know.
+type Carrier interface {
+	Carry(ctx context.Context, out state.Output) state.Input
+}
+
 // Links is the side of the peer links. Its methods must not block.
 type Links interface {
 	SetPeers([]state.NodeEntry)
@@ -36,11 +42,12 @@
 // Daemon owns a node.
 type Daemon struct {
 	node     *core.Node
-	platform platform.Platform
+	platform store.Platform
 	targets  *target.Client
 	links    Links
 	log      *slog.Logger
 	observer Observer
+	carrier  Carrier
 
 	start        time.Time
 	inputs       chan state.Input
@@ -73,7 +80,7 @@
 }
 
 // New returns a daemon. Links may be nil for a node without peers.
-func New(node *core.Node, p platform.Platform, targets *target.Client, links Links, log *slog.Logger) *Daemon {
+func New(node *core.Node, p store.Platform, targets *target.Client, links Links, log *slog.Logger) *Daemon {
 	d := &Daemon{
 		node: node, platform: p, targets: targets, links: links, log: log, lanes: newLanes(),
 		start:     time.Now(),
@@ -92,6 +99,10 @@
 	return d
 }
 
+// SetCarrier sets what carries out orders to hosts and questions to them. It
+// must be called before Run.
+func (d *Daemon) SetCarrier(c Carrier) { d.carrier = c }
+
 // Feed gives an input to the core. It blocks while the loop is busy and does
 // nothing once the loop has ended.
 func (d *Daemon) Feed(in state.Input) {
--- a/pkg/daemon/lane.go
+++ b/pkg/daemon/lane.go
@@ -40,7 +40,7 @@
 		return l.store
 	case state.FetchHosts:
 		return l.hosts
-	case state.Probe:
+	case state.Probe, state.FetchHostReport:
 		return l.probe
 	case state.FetchLoad:
 		return l.load
--- a/pkg/dev/dev.go
+++ b/pkg/dev/dev.go
@@ -15,9 +15,9 @@
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 	"github.com/apricotgrade/apricotgrade/pkg/node"
 	"github.com/apricotgrade/apricotgrade/pkg/operator"
-	"github.com/apricotgrade/apricotgrade/pkg/platform/memory"
 	"github.com/apricotgrade/apricotgrade/pkg/settings"
 	"github.com/apricotgrade/apricotgrade/pkg/standin"
+	"github.com/apricotgrade/apricotgrade/pkg/store/memory"
 )
 
 // Keys and addresses of the development mode.
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -22,6 +22,13 @@
 	NodeRegistered  ID = 1007
 	NodeRemoved     ID = 1008
 	ConfigSlow      ID = 1009
+	CatalogueLoaded ID = 1010
+	RowUnreadable   ID = 1011
+	HistoryGone     ID = 1012
+	Evacuation      ID = 1013
+	RowsRelayed     ID = 1014
+	NodeIsolated    ID = 1015
+	NodeConnected   ID = 1016
 )
 
 // Events of peers: 1100 to 1199.
@@ -53,6 +60,17 @@
 	GroupWaiting      ID = 1213
 	OrderRefused      ID = 1214
 	PlacementConflict ID = 1215
+
+	FormationLeaseTaken ID = 1220
+	FormationLeaseLost  ID = 1221
+	GroupJoining        ID = 1222
+	GroupOpened         ID = 1223
+	GroupRetired        ID = 1224
+	GroupReleased       ID = 1225
+	HostStaging         ID = 1226
+	HostOrdered         ID = 1227
+	HostUnresponsive    ID = 1228
+	HostResponsive      ID = 1229
 )
 
 // Events of requests: 1300 to 1399.
@@ -61,6 +79,11 @@
 	AttemptFailed  ID = 1301
 	ClaimUnsettled ID = 1302
 	TargetCold     ID = 1303
+	RequestPlaced  ID = 1304
+	RequestWaits   ID = 1305
+	RequestEnded   ID = 1306
+	TargetStalled  ID = 1307
+	TargetFlows    ID = 1308
 )
 
 // Events of the process: 1400 to 1499.
@@ -72,6 +95,8 @@
 	StoreDown   ID = 1404
 	StoreUp     ID = 1405
 	DrainWaits  ID = 1406
+	NodeReloads ID = 1407
+	LinesLeft   ID = 1408
 )
 
 // Level is the severity of an event.
@@ -103,6 +128,13 @@
 	{NodeRegistered, Info, "node added to the registry"},
 	{NodeRemoved, Warn, "node removed from the registry"},
 	{ConfigSlow, Warn, "configuration committed, not yet in force"},
+	{CatalogueLoaded, Info, "platform configuration loaded"},
+	{RowUnreadable, Warn, "row of the platform's store unreadable, treated as absent"},
+	{HistoryGone, Info, "history of a table gone, reading it whole"},
+	{Evacuation, Info, "set of data centres without new work changed"},
+	{RowsRelayed, Info, "table taken from a peer"},
+	{NodeIsolated, Warn, "neither the platform's store nor a peer reached, no new work is taken"},
+	{NodeConnected, Info, "platform's store or a peer reached again"},
 	{PeerUp, Info, "link to peer up"},
 	{PeerDown, Warn, "link to peer down"},
 	{PeerBadFrame, Warn, "malformed frame from peer, link closed"},
@@ -125,10 +157,25 @@
 	{GroupWaiting, Warn, "no fabric domain has enough free hosts for a replica group"},
 	{OrderRefused, Warn, "engine refused an order with an old fencing number"},
 	{PlacementConflict, Warn, "placement transaction lost a race"},
+	{FormationLeaseTaken, Info, "formation lease taken"},
+	{FormationLeaseLost, Warn, "formation lease lost"},
+	{GroupJoining, Info, "hosts told to join a replica group"},
+	{GroupOpened, Info, "replica group told to serve"},
+	{GroupRetired, Info, "replica group retired"},
+	{GroupReleased, Info, "hosts of a retired replica group free"},
+	{HostStaging, Info, "host told to stage a model"},
+	{HostOrdered, Info, "order to a host answered"},
+	{HostUnresponsive, Warn, "host does not answer"},
+	{HostResponsive, Info, "host answers again"},
 	{RequestRefused, Info, "request refused"},
 	{AttemptFailed, Warn, "attempt failed"},
 	{ClaimUnsettled, Error, "outcome of a request that may not be repeated is unknown"},
 	{TargetCold, Warn, "target turned cold"},
+	{RequestPlaced, Info, "attempt started"},
+	{RequestWaits, Info, "request waits for a place"},
+	{RequestEnded, Info, "request ended"},
+	{TargetStalled, Warn, "all streams of a target fell silent"},
+	{TargetFlows, Info, "target sends events again"},
 	{NodeStarted, Info, "node started"},
 	{NodeReady, Info, "node ready"},
 	{NodeDrain, Info, "graceful shutdown begun"},
@@ -136,6 +183,8 @@
 	{StoreDown, Warn, "platform store does not answer"},
 	{StoreUp, Info, "platform store answers again"},
 	{DrainWaits, Warn, "graceful shutdown waits for claims to be stored"},
+	{NodeReloads, Info, "settings read again"},
+	{LinesLeft, Warn, "log lines left out"},
 }
 
 // Find returns the entry of an event.
--- a/pkg/gateway/api_test.go
+++ b/pkg/gateway/api_test.go
@@ -18,8 +18,8 @@
 	"github.com/apricotgrade/apricotgrade/pkg/core"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 	"github.com/apricotgrade/apricotgrade/pkg/daemon"
-	"github.com/apricotgrade/apricotgrade/pkg/platform/memory"
 	"github.com/apricotgrade/apricotgrade/pkg/standin"
+	"github.com/apricotgrade/apricotgrade/pkg/store/memory"
 	"github.com/apricotgrade/apricotgrade/pkg/target"
 )
 
--- /dev/null
+++ b/pkg/node/managed.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net/url"
+
+	"github.com/pkg/errors"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core"
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	"github.com/apricotgrade/apricotgrade/pkg/gateway"
+	"github.com/apricotgrade/apricotgrade/pkg/settings"
+	"github.com/apricotgrade/apricotgrade/pkg/store"
+	"github.com/apricotgrade/apricotgrade/pkg/target"
+	"github.com/apricotgrade/apricotgrade/pkg/watch"
+	"github.com/apricotgrade/apricotgrade/platform"
+)
+
+// errNotOffered means that a managed node does not use a service of the
+// platform.
+var errNotOffered = errors.New("not used where the platform holds the configuration")
+
+// managedStore is the platform's store as the event loop sees it. A managed
+// node keeps rows only.
+type managedStore struct{ store.Tables }
+
+func (managedStore) Put(context.Context, string, []byte) error { return errNotOffered }
+
+func (managedStore) Get(context.Context, string) ([]byte, error) { return nil, errNotOffered }
+
+func (managedStore) List(context.Context) ([]state.ListedHost, error) { return nil, errNotOffered }
+
+// NewManaged opens the listeners of an entry daemon whose platform holds the
+// configuration.
+func NewManaged(cfg settings.Node, log *slog.Logger) (*Node, error) {
+	address, err := url.Parse(cfg.Platform)
+	if err != nil {
+		return nil, errors.Wrap(err, "read setting platform")
+	}
+	listeners, err := listen(cfg)
+	if err != nil {
+		return nil, err
+	}
+	self := describe(cfg, listeners)
+	tables := platform.NewStore(address.Host)
+	targets := target.New()
+	n, _, err := assemble(cfg, core.NewManaged(self, uint64(self.Incarnation)), self, managedStore{tables}, targets, listeners, log)
+	if err != nil {
+		return nil, err
+	}
+	n.daemon.SetCarrier(platform.NewHosts(log))
+	rows := platform.NewRows(tables, log)
+	for _, table := range []state.TableKind{state.OperatorTable, state.InstanceTable, state.NodeTable} {
+		n.watchers = append(n.watchers, watch.New(table, rows, n.daemon, log))
+	}
+	n.server = gateway.NewServer(gateway.NewRouted(n.daemon, targets, platform.Form{}, log))
+	return n, nil
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -19,9 +19,10 @@
 	"github.com/apricotgrade/apricotgrade/pkg/metric"
 	"github.com/apricotgrade/apricotgrade/pkg/operator"
 	"github.com/apricotgrade/apricotgrade/pkg/peer"
-	"github.com/apricotgrade/apricotgrade/pkg/platform"
 	"github.com/apricotgrade/apricotgrade/pkg/settings"
+	"github.com/apricotgrade/apricotgrade/pkg/store"
 	"github.com/apricotgrade/apricotgrade/pkg/target"
+	"github.com/apricotgrade/apricotgrade/pkg/watch"
 )
 
 // headerTimeout bounds the time in which a peer sends its request headers.
@@ -29,50 +30,71 @@
 
 // Node is an entry daemon with open listeners.
 type Node struct {
-	daemon   *daemon.Daemon
-	log      *slog.Logger
-	callers  net.Listener
-	peers    net.Listener
-	admin    net.Listener
-	server   *gateway.Server
-	operator http.Handler
-	links    *peer.Links
+	daemon  *daemon.Daemon
+	log     *slog.Logger
+	callers net.Listener
+	peers   net.Listener
+	admin   net.Listener
+	// ready is nil where health checks go to the admin listener.
+	ready     net.Listener
+	readyPath string
+	server    *gateway.Server
+	operator  http.Handler
+	links     *peer.Links
+	// watchers follow the tables of the platform's store, where it holds the
+	// configuration.
+	watchers []*watch.Watcher
 }
 
 // New opens the listeners of an entry daemon. A nil platform means the client
 // of the platform address in the settings.
-func New(cfg settings.Node, p platform.Platform, log *slog.Logger) (*Node, error) {
+func New(cfg settings.Node, p store.Platform, log *slog.Logger) (*Node, error) {
 	if p == nil {
-		p = platform.NewClient(cfg.Platform, &http.Client{})
+		p = store.NewClient(cfg.Platform, &http.Client{})
 	}
 	listeners, err := listen(cfg)
 	if err != nil {
 		return nil, err
 	}
-	self := state.Self{
-		ID: state.NodeID(cfg.ID), DataCentre: state.DataCentre(cfg.DataCentre), Address: advertised(cfg, listeners.peers),
+	self := describe(cfg, listeners)
+	targets := target.New()
+	n, recorder, err := assemble(cfg, core.New(self, state.Switches{}, uint64(self.Incarnation)), self, p, targets, listeners, log)
+	if err != nil {
+		return nil, err
+	}
+	g := gateway.New(n.daemon, targets, gateway.Options{TokenKey: []byte(cfg.PeerKey), Log: log})
+	recorder.Gateway(g.Counters())
+	n.server = gateway.NewServer(g.Handler())
+	return n, nil
+}
+
+// describe returns this node as its settings have it.
+func describe(cfg settings.Node, l listeners) state.Self {
+	return state.Self{
+		ID: state.NodeID(cfg.ID), DataCentre: state.DataCentre(cfg.DataCentre), Address: advertised(cfg, l.peers),
 		Incarnation: state.Incarnation(time.Now().UnixNano()), DrainNotice: cfg.Drain,
 	}
-	targets := target.New()
-	core := core.New(self, state.Switches{}, uint64(self.Incarnation))
+}
+
+// assemble joins a core with its event loop, its links and its operator API.
+func assemble(cfg settings.Node, c *core.Node, self state.Self, p store.Platform, targets *target.Client, l listeners, log *slog.Logger) (*Node, *metric.Recorder, error) {
 	links := peer.New(self, []byte(cfg.PeerKey), log)
-	d := daemon.New(core, p, targets, links, log)
+	d := daemon.New(c, p, targets, links, log)
 	recorder := metric.New()
 	links.Measure(recorder)
 	links.Start(d.Feed)
-	g := gateway.New(d, targets, gateway.Options{TokenKey: []byte(cfg.PeerKey), Log: log})
 	d.Observe(recorder)
 	recorder.Daemon(d.Counters(), d.Waiting)
-	recorder.Gateway(g.Counters())
 	api, err := operator.NewServer(d, p, recorder, cfg.Operators).Handler()
 	if err != nil {
-		listeners.close()
-		return nil, err
+		l.close()
+		return nil, nil, err
+	}
+	n := &Node{
+		daemon: d, log: log, callers: l.callers, peers: l.peers, admin: l.admin, ready: l.ready,
+		operator: api, links: links, readyPath: cfg.ReadyPath,
 	}
-	return &Node{
-		daemon: d, log: log, callers: listeners.callers, peers: listeners.peers, admin: listeners.admin,
-		server: gateway.NewServer(g.Handler()), operator: api, links: links,
-	}, nil
+	return n, recorder, nil
 }
 
 // CallerAddress returns the address of the listener for callers.
@@ -100,6 +122,16 @@
 	go n.serve(ctx, n.peers, peers.Serve)
 	go n.serve(ctx, n.admin, admin.Serve)
 	go n.serve(ctx, n.callers, n.server.Serve)
+	if n.ready != nil {
+		checks := &http.Server{Handler: n.readiness(), ReadHeaderTimeout: headerTimeout}
+		go n.serve(ctx, n.ready, checks.Serve)
+		defer func() { _ = checks.Close() }()
+	}
+	following, stop := context.WithCancel(ctx)
+	defer stop()
+	for _, w := range n.watchers {
+		go w.Run(following)
+	}
 	event.Log(ctx, n.log, event.NodeStarted,
 		slog.String("callers", n.CallerAddress()), slog.String("peers", n.peers.Addr().String()), slog.String("operators", n.AdminAddress()))
 	go func() {
@@ -115,13 +147,24 @@
 	_ = admin.Close()
 }
 
+// readiness answers the load balancer's health checks.
+func (n *Node) readiness() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+n.readyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !n.daemon.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
 func (n *Node) serve(ctx context.Context, listener net.Listener, serve func(net.Listener) error) {
 	if err := serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		n.log.LogAttrs(ctx, slog.LevelError, "listener failed", slog.String("address", listener.Addr().String()), slog.Any("error", err))
 	}
 }
 
-type listeners struct{ callers, peers, admin net.Listener }
+type listeners struct{ callers, peers, admin, ready net.Listener }
 
 // listen opens the listeners of a node, all or none.
 func listen(cfg settings.Node) (listeners, error) {
@@ -131,7 +174,11 @@
 		listener         *net.Listener
 	}{
 		{cfg.Listen, "listen", &l.callers}, {cfg.Peer, "peer_listen", &l.peers}, {cfg.Admin, "admin_listen", &l.admin},
+		{cfg.Ready, "ready_listen", &l.ready},
 	} {
+		if want.address == "" {
+			continue
+		}
 		listener, err := net.Listen("tcp", want.address)
 		if err != nil {
 			l.close()
@@ -143,7 +190,7 @@
 }
 
 func (l listeners) close() {
-	for _, listener := range []net.Listener{l.callers, l.peers, l.admin} {
+	for _, listener := range []net.Listener{l.callers, l.peers, l.admin, l.ready} {
 		if listener != nil {
 			_ = listener.Close()
 		}
--- a/pkg/operator/client_test.go
+++ b/pkg/operator/client_test.go
@@ -14,7 +14,7 @@
 	"github.com/apricotgrade/apricotgrade/pkg/apierror"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 	"github.com/apricotgrade/apricotgrade/pkg/operator"
-	"github.com/apricotgrade/apricotgrade/pkg/platform/memory"
+	"github.com/apricotgrade/apricotgrade/pkg/store/memory"
 )
 
 func errorsAs(err error, target any) bool { return errors.As(err, target) }
--- a/pkg/operator/fake_test.go
+++ b/pkg/operator/fake_test.go
@@ -12,8 +12,8 @@
 	"github.com/apricotgrade/apricotgrade/pkg/declaration"
 	"github.com/apricotgrade/apricotgrade/pkg/metric"
 	"github.com/apricotgrade/apricotgrade/pkg/operator"
-	"github.com/apricotgrade/apricotgrade/pkg/platform/memory"
 	"github.com/apricotgrade/apricotgrade/pkg/settings"
+	"github.com/apricotgrade/apricotgrade/pkg/store/memory"
 )
 
 const declared = `
--- a/pkg/operator/server.go
+++ b/pkg/operator/server.go
@@ -16,8 +16,8 @@
 	"github.com/apricotgrade/apricotgrade/pkg/apierror"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 	"github.com/apricotgrade/apricotgrade/pkg/metric"
-	"github.com/apricotgrade/apricotgrade/pkg/platform"
 	"github.com/apricotgrade/apricotgrade/pkg/settings"
+	"github.com/apricotgrade/apricotgrade/pkg/store"
 )
 
 const (
@@ -42,7 +42,7 @@
 // Server serves the operator API of one node.
 type Server struct {
 	daemon    Daemon
-	platform  platform.Platform
+	platform  store.Platform
 	metrics   *metric.Recorder
 	operators []credential
 }
@@ -55,7 +55,7 @@
 }
 
 // NewServer returns the operator API of a node.
-func NewServer(d Daemon, p platform.Platform, metrics *metric.Recorder, operators []settings.Operator) *Server {
+func NewServer(d Daemon, p store.Platform, metrics *metric.Recorder, operators []settings.Operator) *Server {
 	s := &Server{daemon: d, platform: p, metrics: metrics}
 	for _, op := range operators {
 		s.operators = append(s.operators, credential{op.Name, sha256.Sum256([]byte(op.Key))})
--- a/pkg/operator/server_test.go
+++ b/pkg/operator/server_test.go
@@ -13,7 +13,7 @@
 	"github.com/apricotgrade/apricotgrade/pkg/apierror"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 	"github.com/apricotgrade/apricotgrade/pkg/operator"
-	"github.com/apricotgrade/apricotgrade/pkg/platform/memory"
+	"github.com/apricotgrade/apricotgrade/pkg/store/memory"
 )
 
 // TestKeys guards against an operator API that answers without a key, or that
--- a/pkg/scenario/store.go
+++ b/pkg/scenario/store.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
-	"github.com/apricotgrade/apricotgrade/pkg/platform/memory"
+	"github.com/apricotgrade/apricotgrade/pkg/store/memory"
 )
 
 const (
--- a/pkg/scenario/world.go
+++ b/pkg/scenario/world.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
-	"github.com/apricotgrade/apricotgrade/pkg/platform/memory"
+	"github.com/apricotgrade/apricotgrade/pkg/store/memory"
 )
 
 // Options sets the size of a world.
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -28,6 +28,11 @@
 	Drain       time.Duration
 	LogLevel    slog.Level
 	Operators   []Operator
+	// Managed is set where the platform holds the configuration.
+	Managed bool
+	// Ready is the listener for health checks, ReadyPath their path.
+	Ready     string
+	ReadyPath string
 }
 
 // Operator is the name and key of one operator.
@@ -49,6 +54,7 @@
 		Listen: in.Text("listen"), Admin: in.Text("admin_listen"),
 		Peer: in.Text("peer_listen"), PeerAddress: in.Text("peer_address"), PeerKey: in.Text("peer_key"),
 		Platform: in.Text("platform"), Drain: in.Duration("drain_notice"), LogLevel: levels[in.Text("log_level")],
+		Managed: in.Text("configuration") == "platform", Ready: in.Text("ready_listen"), ReadyPath: in.Text("ready_path"),
 	}
 	for _, op := range file.All("operator") {
 		n.Operators = append(n.Operators, Operator{Name: op.Name, Key: op.Text("key")})
@@ -69,6 +75,11 @@
 			})
 		}
 	}
+	if len(n.Operators) == 0 && !n.Managed {
+		problems = append(problems, inifile.Problem{
+			File: path, Section: "operator", Message: "section is missing", Allowed: "at least one [operator NAME] with its key",
+		})
+	}
 	names := map[string]string{}
 	for _, op := range n.Operators {
 		if other, ok := names[op.Key]; ok {
--- a/pkg/settings/tables.go
+++ b/pkg/settings/tables.go
@@ -26,6 +26,12 @@
 				{Name: "peer_address", Kind: inifile.Address, DefaultNote: "`peer_listen`", Help: "Address at which other entry daemons reach `peer_listen`. It is published in the registry of the configuration."},
 				{Name: "peer_key", Kind: inifile.Secret, Required: true, Help: "Key that all entry daemons share and prove to each other."},
 				{Name: "platform", Kind: inifile.URL, Required: true, Help: "Base URL of the platform's table service, object store and host list."},
+				{
+					Name: "configuration", Kind: inifile.Choice, Default: "own", Choices: []string{"own", "platform"},
+					Help: "Who holds the configuration: `own` for declarations that operators apply to this system, `platform` where the platform's store holds routes, services and accounts and lists the targets.",
+				},
+				{Name: "ready_listen", Kind: inifile.Listen, Help: "Listener for the load balancer's health checks where they do not go to `admin_listen`."},
+				{Name: "ready_path", Kind: inifile.Path, Default: "/readyz", Help: "Path of the health check on `ready_listen`."},
 				{
 					Name: "drain_notice", Kind: inifile.Duration, Default: "3s", Min: 0, Max: int64(10 * time.Minute),
 					Help: "Time for which a node that shuts down still accepts requests after `/readyz` has turned to 503. It must exceed the period of the load balancer's health checks.",
@@ -34,8 +40,8 @@
 			},
 		},
 		{
-			Name: "operator", Named: true, Required: true,
-			Help: "One operator. The name appears in the audit trail.",
+			Name: "operator", Named: true,
+			Help: "One operator. The name appears in the audit trail. At least one is required with `configuration = own`.",
 			Keys: []inifile.Key{
 				{Name: "key", Kind: inifile.Secret, Required: true, Help: "Key of this operator, sent as `Authorization: Bearer`."},
 			},
--- a/pkg/standin/command.go
+++ b/pkg/standin/command.go
@@ -14,8 +14,8 @@
 
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 	"github.com/apricotgrade/apricotgrade/pkg/declaration"
-	"github.com/apricotgrade/apricotgrade/pkg/platform/memory"
 	"github.com/apricotgrade/apricotgrade/pkg/settings"
+	"github.com/apricotgrade/apricotgrade/pkg/store/memory"
 )
 
 // readHeaderTimeout bounds the time in which a client sends its headers.
--- a/pkg/standin/demo.go
+++ b/pkg/standin/demo.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
-	"github.com/apricotgrade/apricotgrade/pkg/platform"
+	"github.com/apricotgrade/apricotgrade/pkg/store"
 )
 
 // DemoDocument returns the declarations of the development mode: groups of two
@@ -37,12 +37,12 @@
 }
 
 // Seed writes a first configuration with the preset "ordinary".
-func Seed(ctx context.Context, tables platform.Tables, doc state.Document) error {
+func Seed(ctx context.Context, tables store.Tables, doc state.Document) error {
 	return SeedPreset(ctx, tables, doc, "ordinary")
 }
 
 // SeedPreset writes a first configuration. It does nothing when there is one.
-func SeedPreset(ctx context.Context, tables platform.Tables, doc state.Document, preset string) error {
+func SeedPreset(ctx context.Context, tables store.Tables, doc state.Document, preset string) error {
 	head := state.Head{Version: 1, Op: "seed", Preset: preset, DocumentVersion: 1}
 	_, err := tables.Transact(ctx, state.Transaction{
 		Conditions: []state.Condition{{Key: state.KeyHead}},
--- a/pkg/standin/platform.go
+++ b/pkg/standin/platform.go
@@ -5,11 +5,11 @@
 	"net/http"
 
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
-	"github.com/apricotgrade/apricotgrade/pkg/platform"
+	"github.com/apricotgrade/apricotgrade/pkg/store"
 )
 
 // PlatformHandler serves the platform's services over HTTP from a store.
-func PlatformHandler(store platform.Platform) http.Handler {
+func PlatformHandler(store store.Platform) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /tables/transact", func(w http.ResponseWriter, r *http.Request) {
 		var tx state.Transaction
--- a/pkg/platform/client.go
+++ b/pkg/store/client.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"bytes"
--- a/pkg/platform/error.go
+++ b/pkg/store/error.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import "github.com/pkg/errors"
 
--- a/pkg/platform/memory/memory.go
+++ b/pkg/store/memory/memory.go
@@ -10,7 +10,7 @@
 	"sync"
 
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
-	"github.com/apricotgrade/apricotgrade/pkg/platform"
+	"github.com/apricotgrade/apricotgrade/pkg/store"
 )
 
 // Store is a table service, an object store and a list of hosts in memory. It
@@ -23,7 +23,7 @@
 	hosts    []state.ListedHost
 }
 
-var _ platform.Platform = (*Store)(nil)
+var _ store.Platform = (*Store)(nil)
 
 // New returns an empty store.
 func New() *Store {
@@ -37,12 +37,12 @@
 	s.hosts = slices.Clone(hosts)
 }
 
-// Transact implements platform.Tables.
-func (s *Store) Transact(_ context.Context, tx state.Transaction) (platform.Result, error) {
+// Transact implements store.Tables.
+func (s *Store) Transact(_ context.Context, tx state.Transaction) (store.Result, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if conflict := s.check(tx.Conditions); conflict {
-		return platform.Result{Result: state.StoreConflict, Rows: s.present(tx.Conditions)}, nil
+		return store.Result{Result: state.StoreConflict, Rows: s.present(tx.Conditions)}, nil
 	}
 	written := make([]state.StoreRow, 0, len(tx.Writes))
 	for _, w := range tx.Writes {
@@ -55,7 +55,7 @@
 		s.rows[w.Key] = row
 		written = append(written, row)
 	}
-	return platform.Result{Result: state.StoreOK, Rows: written}, nil
+	return store.Result{Result: state.StoreOK, Rows: written}, nil
 }
 
 func (s *Store) check(conditions []state.Condition) bool {
@@ -77,7 +77,7 @@
 	return rows
 }
 
-// Read implements platform.Tables.
+// Read implements store.Tables.
 func (s *Store) Read(_ context.Context, keys []string) ([]state.StoreRow, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -90,7 +90,7 @@
 	return rows, nil
 }
 
-// Scan implements platform.Tables.
+// Scan implements store.Tables.
 func (s *Store) Scan(_ context.Context, prefix string) ([]state.StoreRow, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -104,7 +104,7 @@
 	return rows, nil
 }
 
-// Put implements platform.Objects.
+// Put implements store.Objects.
 func (s *Store) Put(_ context.Context, key string, value []byte) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -112,14 +112,14 @@
 	return nil
 }
 
-// Get implements platform.Objects.
+// Get implements store.Objects.
 func (s *Store) Get(_ context.Context, key string) ([]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return slices.Clone(s.objects[key]), nil
 }
 
-// List implements platform.Hosts.
+// List implements store.Hosts.
 func (s *Store) List(context.Context) ([]state.ListedHost, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/platform/platform.go
+++ b/pkg/store/platform.go
@@ -1,6 +1,6 @@
-// Package platform reaches the services that the platform gives: the table
+// Package store reaches the services that the platform gives: the table
 // service, the object store and the list of hosts.
-package platform
+package store
 
 import (
 	"context"
--- a/test/process/rig_test.go
+++ b/test/process/rig_test.go
@@ -27,7 +27,7 @@
 	"github.com/apricotgrade/apricotgrade/internal/gozero"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 	"github.com/apricotgrade/apricotgrade/pkg/operator"
-	"github.com/apricotgrade/apricotgrade/pkg/platform/memory"
+	"github.com/apricotgrade/apricotgrade/pkg/store/memory"
 	"github.com/apricotgrade/apricotgrade/pkg/standin"
 )
 
