Free the members of a replica group once it serves

Cause: a plan that ended with an open group kept its members planned, so after the loss of one member the survivors could join no group until the lease changed hands. Ruled out: the close order (answered in 5 ms) and the list of instances (ready at once).

--- a/pkg/core/formation/formation.go
+++ b/pkg/core/formation/formation.go
@@ -145,7 +145,7 @@
 		case state.MemberReady:
 			ready++
 		case state.MemberOpen:
-			delete(s.plans, p.id)
+			s.finish(p)
 			return
 		}
 	}
@@ -163,11 +163,16 @@
 // abandon gives up a group in formation. Its members are free: none of them
 // serves, and their next group has a higher epoch.
 func (s *System) abandon(now time.Duration, p *plan, reason string, out *state.Outbox) {
-	delete(s.plans, p.id)
+	s.finish(p)
 	out.Log(event.GroupGivenUp, slog.String("group", string(p.id)), slog.Uint64("epoch", p.epoch),
 		slog.String("reason", reason), slog.Duration("age", now-p.since))
+}
+
+// finish forgets a plan, so that its members can be planned with again.
+func (s *System) finish(p *plan) {
+	delete(s.plans, p.id)
 	for _, id := range p.members {
-		if h := s.hosts[id]; h != nil {
+		if h := s.hosts[id]; h != nil && h.plan == p {
 			h.plan = nil
 		}
 	}
--- a/pkg/core/formation/plan.go
+++ b/pkg/core/formation/plan.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
@@ -135,6 +136,7 @@
 	for {
 		c, ok := chooseGroup(free, service.Engine.Models, live, wanted, !s.m.TrafficSeen)
 		if !ok {
+			s.logWaiting(now, service.Engine.Models, free, live, wanted, out)
 			return
 		}
 		s.begin(now, service, c, out)
@@ -145,6 +147,28 @@
 	}
 }
 
+// logWaiting says which groups cannot be formed and which hosts are free.
+func (s *System) logWaiting(now time.Duration, models []state.ModelProfile, free []freeHost, live, wanted map[string]int, out *state.Outbox) {
+	if now < s.nextLog {
+		return
+	}
+	for _, m := range models {
+		if live[m.Name] >= wanted[m.Name] {
+			continue
+		}
+		s.nextLog = now + waitingLog
+		domains := map[string][]string{}
+		for _, f := range free {
+			domains[string(f.domain)] = append(domains[string(f.domain)], strings.Join(f.staged, "+"))
+		}
+		out.Log(event.GroupWaiting, slog.String("model", m.Name), slog.Int("live", live[m.Name]), slog.Int("wanted", wanted[m.Name]),
+			slog.Any("free", domains))
+	}
+}
+
+// waitingLog is the period of lines on groups that cannot be formed.
+const waitingLog = 2 * time.Second
+
 func startShares(models []state.ModelProfile) map[string]float64 {
 	shares := map[string]float64{}
 	for _, m := range models {
