--- a/pkg/core/dispatch/target.go
+++ b/pkg/core/dispatch/target.go
@@ -128,6 +128,7 @@
 	if old != nil {
 		s.setSuspect(old, false, nil)
 	}
+	delete(s.m.Stalled, id)
 	t := &target{
 		id: id, group: in.Membership.Group, epoch: in.Membership.Epoch, born: in.Born, address: in.Address,
 		jobs: map[state.RequestID]*job{},
--- a/pkg/core/formation/group.go
+++ b/pkg/core/formation/group.go
@@ -36,13 +36,19 @@
 	seenAt  time.Duration
 	// firstAt is when the group was first seen.
 	firstAt time.Duration
-	// open is set once the leader was seen open.
-	open bool
+	// open is set once the leader was seen open, at openAt.
+	open   bool
+	openAt time.Duration
+	// brokenAt is when a member was first known to have left, 0 before. A leader
+	// that still works stands still from then on.
+	brokenAt time.Duration
 	// retiring is set once the group is to end; cut is whether its work is cut off.
 	retiring  bool
 	cut       bool
 	retiredAt time.Duration
 	closed    bool
+	// released is set once the end of the group was logged.
+	released bool
 	// reported is the phase in the leader's last report.
 	reported   state.MemberPhase
 	reportedAt time.Duration
@@ -114,13 +120,17 @@
 	if in.Model != "" {
 		g.model = in.Model
 	}
-	if m.Rank == 0 && m.Phase == state.MemberOpen {
-		g.open = true
+	if m.Rank == 0 && m.Phase == state.MemberOpen && !g.open {
+		g.open, g.openAt = true, now
 	}
+	s.hosts[in.ID].last = g
 }
 
 // phase returns the phase of a group's leader. It is MemberNone once the leader
-// has left the group, and known is false while nobody can tell.
+// cannot serve any more, and known is false while nobody can tell. A leader that
+// this node does not reach may still serve for others, also when its entry has
+// lapsed: it is cut off from the store then. It breaks standTime after a member
+// has left it.
 func (s *System) phase(now time.Duration, g *group) (phase state.MemberPhase, known bool) {
 	h := s.hosts[g.leader()]
 	switch {
@@ -128,15 +138,16 @@
 		return state.MemberNone, g.leader() != ""
 	case h.refused:
 		return state.MemberNone, true
-	case h.dead && (h.row == nil || now-h.deadAt > standTime):
+	case h.row != nil && (h.row.Membership.Group != g.id || h.row.Membership.Epoch != g.epoch):
 		return state.MemberNone, true
-	case h.row != nil:
-		if h.row.Membership.Group != g.id || h.row.Membership.Epoch != g.epoch {
-			return state.MemberNone, true
-		}
+	case h.row != nil && (!h.dead || h.row.Membership.Phase != state.MemberOpen):
 		return h.row.Membership.Phase, true
-	case g.reportedAt > 0 && now-g.reportedAt < 2*probePeriod:
+	case h.row == nil && !h.dead && g.reportedAt > 0 && now-g.reportedAt < 2*probePeriod:
 		return g.reported, true
+	case !g.open:
+		return state.MemberNone, true
+	case g.brokenAt > 0 && now-g.brokenAt > standTime:
+		return state.MemberNone, true
 	}
 	return state.MemberOpen, false
 }
@@ -148,27 +159,26 @@
 	}
 	phase, known := s.phase(now, g)
 	leader := s.hosts[g.leader()]
-	if leader != nil && leader.row == nil && !leader.dead && g.open && phase != state.MemberReady && phase != state.MemberNone {
+	if leader != nil && leader.row == nil && !leader.dead && g.open && (!known || phase == state.MemberOpen) {
 		s.probe(now, leader, out)
 	}
-	switch {
-	case phase == state.MemberNone:
-		if g.retiring && !g.closed {
-			g.closed = true
-			out.Log(event.GroupReleased, slog.String("group", string(g.id)), slog.String("reason", "leader gone"))
+	switch phase {
+	case state.MemberOpen, state.MemberClosing:
+	case state.MemberReady:
+		if !g.open && !g.retiring {
+			s.adopt(now, g, out)
+		}
+		fallthrough
+	default:
+		if g.retiring && !g.released {
+			g.released = true
+			out.Log(event.GroupReleased, slog.String("group", string(g.id)), slog.Duration("took", now-g.retiredAt))
 		}
-		return
-	case phase == state.MemberReady && !g.open && !g.retiring:
-		s.adopt(now, g, out)
-		return
-	case phase != state.MemberOpen && phase != state.MemberClosing || !known:
 		return
 	}
 	if !g.retiring {
 		if reason, cut := s.defect(now, g, out); reason != "" {
-			g.retiring, g.cut, g.retiredAt = true, cut, now
-			out.Log(event.GroupRetired, slog.String("group", string(g.id)), slog.Uint64("epoch", g.epoch),
-				slog.String("reason", reason), slog.Bool("cut", cut))
+			s.startRetiring(now, g, reason, cut, out)
 		}
 	}
 	if g.retiring {
@@ -176,6 +186,12 @@
 	}
 }
 
+func (s *System) startRetiring(now time.Duration, g *group, reason string, cut bool, out *state.Outbox) {
+	g.retiring, g.cut, g.retiredAt = true, cut, now
+	out.Log(event.GroupRetired, slog.String("group", string(g.id)), slog.Uint64("epoch", g.epoch),
+		slog.String("reason", reason), slog.Bool("cut", cut))
+}
+
 // defect returns why a group must end, and whether its work is to be cut off:
 // a group that has lost a member makes nothing any more.
 func (s *System) defect(now time.Duration, g *group, out *state.Outbox) (reason string, cut bool) {
@@ -194,6 +210,8 @@
 			return "member gone", true
 		case h.dead && rank > 0:
 			return "member does not answer", true
+		case h.dead:
+			return "leader does not answer", true
 		case h.row == nil:
 			// Its entry lapsed; it may be cut off from the store only.
 			s.probe(now, h, out)
@@ -227,14 +245,17 @@
 }
 
 // retire closes the leader of a group, so that its members may join others.
+// Where the leader does not answer, the members leave it: it may still serve for
+// nodes that reach it, and stands still from then on.
 func (s *System) retire(now time.Duration, g *group, leader *host, phase state.MemberPhase, out *state.Outbox) {
 	if !g.cut && now-g.retiredAt > closeTime {
 		g.cut, g.closed = true, false
 	}
-	if leader == nil || g.closed && now-g.retiredAt < orderTimeout {
+	if leader == nil || leader.dead {
+		s.leaveGroup(now, g, out)
 		return
 	}
-	if phase == state.MemberClosing && !g.cut {
+	if g.closed && now-g.retiredAt < orderTimeout || phase == state.MemberClosing && !g.cut {
 		return
 	}
 	operation := state.HostCloseQueue
@@ -244,6 +265,22 @@
 	s.order(now, leader, state.HostOrder{Operation: operation, Group: g.id, Epoch: g.epoch}, out)
 }
 
+func (s *System) leaveGroup(now time.Duration, g *group, out *state.Outbox) {
+	for rank, id := range g.members {
+		h := s.hosts[id]
+		if rank == 0 || h == nil || h.row == nil || h.dead {
+			continue
+		}
+		if m := h.row.Membership; m.Group != g.id || m.Epoch != g.epoch {
+			if g.brokenAt == 0 {
+				g.brokenAt = now
+			}
+			continue
+		}
+		s.order(now, h, state.HostOrder{Operation: state.HostLeave, Group: g.id, Epoch: g.epoch}, out)
+	}
+}
+
 // adopt goes on with a group that an earlier holder of the lease left ready.
 func (s *System) adopt(now time.Duration, g *group, out *state.Outbox) {
 	engine := s.engine(g.service)
@@ -286,9 +323,7 @@
 func (s *System) probeSuspects(now time.Duration, out *state.Outbox) {
 	for _, id := range sortedKeys(s.groups) {
 		g := s.groups[id]
-		_, own := s.m.Stalled[g.leader()]
-		_, peers := s.m.PeerStalled[g.leader()]
-		if !own && !peers {
+		if !g.open || s.m.Stalled[g.leader()] <= g.openAt && s.m.PeerStalled[g.leader()] <= g.openAt {
 			g.silentSince = 0
 			continue
 		}
--- a/pkg/core/formation/host.go
+++ b/pkg/core/formation/host.go
@@ -49,6 +49,8 @@
 	deadAt  time.Duration
 	pace    float64
 	plan    *plan
+	// last is the group that the host was last seen in.
+	last *group
 	// staging is the model that the host was told to stage.
 	staging   string
 	stagingAt time.Duration
--- a/pkg/core/formation/plan.go
+++ b/pkg/core/formation/plan.go
@@ -222,20 +222,16 @@
 	return free
 }
 
-// isFree reports whether a host may join a group: it is in none whose leader
-// may still serve.
+// isFree reports whether a host may join a group: the leader of the last one
+// that it was in cannot serve any more.
 func (s *System) isFree(now time.Duration, h *host, service string) bool {
-	if h.row == nil || h.row.Service != service || h.row.Draining || h.dead || h.plan != nil || h.sent != nil || now < h.waitUntil {
+	if h.row == nil || h.row.Service != service || h.row.Draining || h.dead || h.plan != nil || now < h.waitUntil {
 		return false
 	}
-	m := h.row.Membership
-	if m.Group == "" {
-		return true
-	}
-	g := s.groups[m.Group]
-	if g == nil || g.epoch != m.Epoch {
-		return true
-	}
+	return h.last == nil || s.isOver(now, h.last)
+}
+
+func (s *System) isOver(now time.Duration, g *group) bool {
 	phase, known := s.phase(now, g)
 	return known && phase != state.MemberOpen && phase != state.MemberClosing
 }
--- /dev/null
+++ b/pkg/core/formation/rig_test.go
@@ -0,0 +1,337 @@
+package formation
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+)
+
+// fakeHost is a host that obeys orders as the platform describes it.
+type fakeHost struct {
+	row      state.Instance
+	sequence uint64
+	// silent hosts answer nothing; refusing ones have no listener.
+	silent, refusing bool
+	// joinUntil and openUntil end the phases in which they are.
+	joinUntil, openUntil time.Duration
+	staging              string
+	stageUntil           time.Duration
+	listed               bool
+	// lose is the number of orders that are carried out late and not answered.
+	lose int
+	late []lateOrder
+}
+
+type lateOrder struct {
+	at    time.Duration
+	order state.HostOrder
+}
+
+// rig drives one node's formation system with fake hosts and a fake store row.
+type rig struct {
+	t      *testing.T
+	tables *state.Tables
+	system *System
+	now    time.Duration
+	hosts  map[state.HostID]*fakeHost
+	engine *state.EngineProfile
+	// lease is the stored row.
+	lease    []byte
+	revision uint64
+	orders   []state.HostOrder
+	inputs   []state.Input
+	// violations are breaches of what must hold for hosts and groups.
+	violations []string
+}
+
+const (
+	large = "large"
+	small = "small"
+)
+
+func newRig(t *testing.T, domains int) *rig {
+	tables := state.NewTables(state.Self{ID: "n1", DataCentre: "a", Incarnation: 1}, state.Switches{}, 1)
+	tables.Managed = state.NewManaged()
+	r := &rig{t: t, tables: tables, system: New(tables), hosts: map[state.HostID]*fakeHost{}}
+	r.engine = &state.EngineProfile{
+		Slots: 26, Stride: 5, LoadsPerSecond: 4, LoadsAtOnce: 6, StagedKept: 1, OpenTime: 300 * time.Millisecond,
+		Models: []state.ModelProfile{
+			{Name: large, Size: 4, Share: 0.67, Pace: 1, LoadTime: 16 * time.Second, WarmTime: 1600 * time.Millisecond},
+			{Name: small, Size: 2, Share: 0.33, Pace: 0.6, LoadTime: 12 * time.Second, WarmTime: 1100 * time.Millisecond},
+		},
+	}
+	tables.Managed.Catalogue = &state.Catalogue{Version: 1, Services: []state.ServiceProfile{{Name: "pool", Engine: r.engine}}}
+	tables.Config.Fresh, tables.Config.Known = true, true
+	for d := range domains {
+		for i := range 8 {
+			r.add(state.HostID(fmt.Sprintf("h%d-%d", d, i)), state.DomainID(fmt.Sprintf("d%d", d)))
+		}
+	}
+	tables.Managed.Tables[state.NodeTable].Known = true
+	tables.Managed.Tables[state.InstanceTable].Known = true
+	return r
+}
+
+func (r *rig) add(id state.HostID, domain state.DomainID) *fakeHost {
+	h := &fakeHost{listed: true, row: state.Instance{
+		ID: id, Service: "pool", Address: string(id), DataCentre: "a", Domain: domain, Slots: 26, Born: 1,
+	}}
+	r.hosts[id] = h
+	r.publish(h)
+	return h
+}
+
+// publish puts a host's row into the node's list.
+func (r *rig) publish(h *fakeHost) {
+	r.revision++
+	if !h.listed {
+		r.tables.Managed.Instances.Delete(h.row.ID)
+	} else {
+		row := h.row
+		row.Revision, row.SeenAt = r.revision, r.now
+		row.Staged = slices.Clone(h.row.Staged)
+		r.tables.Managed.Instances.Put(row.ID, &row)
+	}
+	r.tables.Managed.Changed++
+	r.inputs = append(r.inputs, state.RowsSeen{Table: state.InstanceTable})
+}
+
+// run lets time pass in ticks.
+func (r *rig) run(d time.Duration) {
+	for end := r.now + d; r.now < end; {
+		r.now += state.TickPeriod
+		for _, id := range sortedKeys(r.hosts) {
+			r.hostTime(r.hosts[id])
+		}
+		r.inputs = append(r.inputs, state.Tick{})
+		for len(r.inputs) > 0 {
+			in := r.inputs[0]
+			r.inputs = r.inputs[1:]
+			var out state.Outbox
+			r.system.Step(r.now, in, &out)
+			for _, o := range out.Outputs {
+				r.carryOut(o)
+			}
+			if reply, ok := in.(state.StoreReply); ok {
+				r.tables.FinishReply(reply.ID)
+			}
+		}
+	}
+}
+
+func (r *rig) carryOut(out state.Output) {
+	switch out := out.(type) {
+	case state.StoreRequest:
+		r.transact(out)
+	case state.FetchHostReport:
+		r.report(out)
+	case state.HostOrder:
+		r.order(out)
+	}
+}
+
+func (r *rig) transact(req state.StoreRequest) {
+	reply := state.StoreReply{ID: req.ID}
+	m := r.tables.Managed
+	if c := req.Transact.Conditions; len(c) == 1 && c[0].Revision != m.Lease.Revision {
+		reply.Result = state.StoreConflict
+		reply.Rows = []state.StoreRow{{Key: state.KeyFormationLease, Revision: m.Lease.Revision, Value: r.lease}}
+	} else {
+		r.revision++
+		r.lease = req.Transact.Writes[0].Value
+		var row state.LeaseRow
+		gomega.NewWithT(r.t).Expect(state.Decode(r.lease, &row)).To(gomega.Succeed())
+		m.Lease = state.FormationLease{Row: row, Revision: r.revision, SeenAt: r.now}
+		reply.Rows = []state.StoreRow{{Key: state.KeyFormationLease, Revision: r.revision, Value: r.lease}}
+	}
+	r.inputs = append(r.inputs, reply)
+}
+
+func (r *rig) report(in state.FetchHostReport) {
+	h := r.hosts[in.Host]
+	out := state.HostReport{Host: in.Host, SentAt: in.SentAt}
+	switch {
+	case h == nil || h.refusing:
+		out.Refused = true
+	case !h.silent:
+		out.OK, out.Sequence, out.Born, out.Membership = true, h.sequence, h.row.Born, h.row.Membership
+	}
+	r.inputs = append(r.inputs, out)
+}
+
+func (r *rig) order(o state.HostOrder) {
+	h := r.hosts[o.Host]
+	r.orders = append(r.orders, o)
+	res := state.HostOrderResult{ID: o.ID, Host: o.Host, Outcome: state.OrderBegun}
+	switch {
+	case h == nil || h.refusing || h.silent:
+		res.Outcome = state.OrderUnreached
+	case h.lose > 0:
+		h.lose--
+		h.late = append(h.late, lateOrder{r.now + 3*time.Second, o})
+		res.Outcome = state.OrderUnknown
+	default:
+		res.Outcome = r.apply(h, o)
+	}
+	r.inputs = append(r.inputs, res)
+}
+
+// apply carries out an order and notes what the platform forbids.
+func (r *rig) apply(h *fakeHost, o state.HostOrder) state.OrderOutcome {
+	if o.Sequence != h.sequence {
+		return state.OrderConflict
+	}
+	m := &h.row.Membership
+	same := m.Group == o.Group && m.Epoch == o.Epoch
+	switch o.Operation {
+	case state.HostJoin:
+		if o.Epoch < m.Epoch {
+			return state.OrderFenced
+		}
+		r.checkJoin(h, o)
+		h.joinUntil = r.now + r.joinTime(h, o.Model)
+		*m = state.Membership{Group: o.Group, Epoch: o.Epoch, Rank: slices.Index(o.Members, h.row.ID), Phase: state.MemberJoining}
+		h.row.Model = o.Model
+	case state.HostOpen:
+		if !same || m.Phase != state.MemberReady {
+			return state.OrderConflict
+		}
+		r.checkOpen(o)
+		h.openUntil = r.now + r.engine.OpenTime
+		m.Phase = state.MemberReady
+	case state.HostCloseNow, state.HostCloseQueue:
+		if !same {
+			return state.OrderConflict
+		}
+		m.Phase, h.openUntil = state.MemberReady, 0
+	case state.HostLeave:
+		if !same {
+			return state.OrderConflict
+		}
+		*m = state.Membership{}
+	case state.HostStage:
+		h.staging, h.stageUntil = o.Model, r.now+r.loadTime(o.Model)
+	}
+	h.sequence++
+	r.publish(h)
+	return state.OrderBegun
+}
+
+func (r *rig) joinTime(h *fakeHost, model string) time.Duration {
+	profile := r.engine.Model(model)
+	switch {
+	case h.row.Model == model:
+		return rejoinTime
+	case slices.Contains(h.row.Staged, model):
+		return profile.WarmTime
+	}
+	h.row.Staged = []string{model}
+	return r.loadTime(model)
+}
+
+func (r *rig) loadTime(model string) time.Duration {
+	if r.tables.Managed.TrafficSeen {
+		return r.engine.Model(model).LoadTime
+	}
+	return r.engine.Model(model).LoadTime / 10
+}
+
+// checkJoin guards against a host in two groups: the leader of its present
+// group must not be able to serve.
+func (r *rig) checkJoin(h *fakeHost, o state.HostOrder) {
+	old := h.row.Membership
+	if old.Group == "" || old.Group == o.Group {
+		return
+	}
+	for id, leader := range r.hosts {
+		m := leader.row.Membership
+		if m.Group == old.Group && m.Epoch == old.Epoch && m.Rank == 0 && m.Phase == state.MemberOpen && !leader.refusing {
+			r.violations = append(r.violations, fmt.Sprintf("%v: %s joins %s while %s leads %s", r.now, h.row.ID, o.Group, id, old.Group))
+		}
+	}
+}
+
+// checkOpen guards against a group that serves without all its members.
+func (r *rig) checkOpen(o state.HostOrder) {
+	ready := 0
+	for _, h := range r.hosts {
+		if m := h.row.Membership; m.Group == o.Group && m.Epoch == o.Epoch && m.Phase == state.MemberReady {
+			ready++
+		}
+	}
+	if model := r.hosts[o.Host].row.Model; ready != r.engine.Model(model).Size {
+		r.violations = append(r.violations, fmt.Sprintf("%v: %s opens with %d members ready", r.now, o.Group, ready))
+	}
+}
+
+func (r *rig) hostTime(h *fakeHost) {
+	if h.silent || h.refusing {
+		return
+	}
+	for len(h.late) > 0 && r.now >= h.late[0].at {
+		r.apply(h, h.late[0].order)
+		h.late = h.late[1:]
+	}
+	changed := false
+	if m := &h.row.Membership; m.Phase == state.MemberJoining && r.now >= h.joinUntil {
+		m.Phase, changed = state.MemberReady, true
+	}
+	if h.openUntil > 0 && r.now >= h.openUntil {
+		h.openUntil, h.row.Membership.Phase, changed = 0, state.MemberOpen, true
+	}
+	if h.staging != "" && r.now >= h.stageUntil {
+		h.row.Staged, h.staging, changed = []string{h.staging}, "", true
+	}
+	if changed {
+		r.publish(h)
+	}
+}
+
+// open returns the members of the groups that serve, by leader.
+func (r *rig) open(model string) map[state.HostID][]state.HostID {
+	out := map[state.HostID][]state.HostID{}
+	for id, h := range r.hosts {
+		m := h.row.Membership
+		if h.silent || h.refusing || h.row.Model != model || m.Rank != 0 || m.Phase != state.MemberOpen {
+			continue
+		}
+		var members []state.HostID
+		for other, o := range r.hosts {
+			if om := o.row.Membership; om.Group == m.Group && om.Epoch == m.Epoch && !o.silent && !o.refusing {
+				members = append(members, other)
+			}
+		}
+		if len(members) == r.engine.Model(model).Size {
+			out[id] = members
+		}
+	}
+	return out
+}
+
+// lose makes a host fall silent for good, and its group's streams with it.
+func (r *rig) lose(id state.HostID) {
+	h := r.hosts[id]
+	h.silent = true
+	for other, o := range r.hosts {
+		if o.row.Membership.Group == h.row.Membership.Group && o.row.Membership.Rank == 0 && h.row.Membership.Group != "" {
+			r.tables.Managed.Stalled[other] = r.now
+		}
+	}
+}
+
+// lapse takes a host's entry from the list, as the platform does 3.6 s after its
+// last heartbeat.
+func (r *rig) lapse(id state.HostID) {
+	r.hosts[id].listed = false
+	r.publish(r.hosts[id])
+}
+
+func (r *rig) startTraffic() {
+	r.run(9 * time.Second)
+	r.tables.Managed.TrafficSeen = true
+}
