--- a/pkg/core/formation/formation.go
+++ b/pkg/core/formation/formation.go
@@ -26,7 +26,10 @@
 	// closeTime bounds how long a leader may finish its work before it is cut off.
 	// A member that drains stays for 10 s at most.
 	closeTime = 6 * time.Second
-	// loadPause is the factor by which the first loads before traffic are faster.
+	// listFor is the age of the list of instances up to which it is acted on: two
+	// calls of the feed and a half.
+	listFor = 2500 * time.Millisecond
+	// loadsBeforeTraffic is the factor on the time of loads before traffic.
 	loadsBeforeTraffic = 0.1
 )
 
@@ -79,11 +82,18 @@
 		return
 	}
 	s.observe(now)
-	if s.holds(now) {
+	if s.holds(now) && s.isListFresh(now) {
 		s.act(now, out)
 	}
 }
 
+// isListFresh reports whether the list of instances is recent enough to act on.
+// The feed is asked again each second.
+func (s *System) isListFresh(now time.Duration) bool {
+	view := &s.m.Tables[state.InstanceTable]
+	return view.SeenAt >= 0 && now-view.SeenAt < listFor
+}
+
 // act does what the state of the hosts asks for.
 func (s *System) act(now time.Duration, out *state.Outbox) {
 	s.probeSuspects(now, out)
--- a/pkg/core/formation/group.go
+++ b/pkg/core/formation/group.go
@@ -39,6 +39,10 @@
 	// open is set once the leader was seen open, at openAt.
 	open   bool
 	openAt time.Duration
+	// over is set once the process of the leader is known to be gone; leaderBorn
+	// tells its lives apart.
+	over       bool
+	leaderBorn int64
 	// brokenAt is when a member was first known to have left, 0 before. A leader
 	// that still works stands still from then on.
 	brokenAt time.Duration
@@ -79,7 +83,7 @@
 			s.hosts[id] = h
 		}
 		if h.born != in.Born {
-			h.sequenced, h.dead, h.refused, h.staging, h.sent = false, false, false, "", nil
+			h.sequenced, h.dead, h.staging, h.sent = false, false, "", nil
 		}
 		h.row, h.address, h.domain, h.dc, h.born = in, in.Address, in.Domain, in.DataCentre, in.Born
 		if h.staging != "" && slices.Contains(in.Staged, h.staging) {
@@ -117,6 +121,9 @@
 		g.members = append(g.members, "")
 	}
 	g.members[m.Rank] = in.ID
+	if m.Rank == 0 {
+		g.leaderBorn = in.Born
+	}
 	if in.Model != "" {
 		g.model = in.Model
 	}
@@ -136,7 +143,7 @@
 	switch {
 	case h == nil:
 		return state.MemberNone, g.leader() != ""
-	case h.refused:
+	case g.over:
 		return state.MemberNone, true
 	case h.row != nil && (h.row.Membership.Group != g.id || h.row.Membership.Epoch != g.epoch):
 		return state.MemberNone, true
--- a/pkg/core/formation/host.go
+++ b/pkg/core/formation/host.go
@@ -42,13 +42,11 @@
 	// probedAt is when the last question was sent; probing until its answer.
 	probing  bool
 	probedAt time.Duration
-	// dead is set once the host did not answer a question. refused is set when it
-	// has no listener, so that no process runs there.
-	dead    bool
-	refused bool
-	deadAt  time.Duration
-	pace    float64
-	plan    *plan
+	// dead is set once the host did not answer a question.
+	dead   bool
+	deadAt time.Duration
+	pace   float64
+	plan   *plan
 	// last is the group that the host was last seen in.
 	last *group
 	// staging is the model that the host was told to stage.
@@ -152,11 +150,14 @@
 	}
 	h.probing = false
 	if !in.OK {
+		if in.Replaced || in.Refused && s.isCrash(now, h) {
+			s.ledGroupsEnd(h)
+		}
 		s.unresponsive(now, h, in.Refused, out)
 		return
 	}
 	if h.dead {
-		h.dead, h.refused = false, false
+		h.dead = false
 		out.Log(event.HostResponsive, slog.String("host", string(h.id)))
 	}
 	h.pace = in.Pace
@@ -170,9 +171,29 @@
 	}
 }
 
+// listHealthy is how long the list of instances must have been followed without
+// a failure, so that a host that leaves would show as leaving.
+const listHealthy = 2500 * time.Millisecond
+
+// isCrash reports whether a host that has no listener has no process. A host
+// that leaves stops listening while it still works, but its entry says so or is
+// removed before that.
+func (s *System) isCrash(now time.Duration, h *host) bool {
+	view := &s.m.Tables[state.InstanceTable]
+	return h.row != nil && !h.row.Draining && (view.FailedAt < 0 || now-view.FailedAt > listHealthy)
+}
+
+// ledGroupsEnd notes that the process that led groups is gone.
+func (s *System) ledGroupsEnd(h *host) {
+	for _, g := range s.groups {
+		if g.leader() == h.id && g.leaderBorn == h.born {
+			g.over = true
+		}
+	}
+}
+
 func (s *System) unresponsive(now time.Duration, h *host, refused bool, out *state.Outbox) {
 	h.sequenced = false
-	h.refused = h.refused || refused
 	if !h.dead {
 		h.dead, h.deadAt = true, now
 		out.Log(event.HostUnresponsive, slog.String("host", string(h.id)), slog.Bool("refused", refused))
--- a/pkg/core/formation/rig_test.go
+++ b/pkg/core/formation/rig_test.go
@@ -108,6 +108,7 @@
 		for _, id := range sortedKeys(r.hosts) {
 			r.hostTime(r.hosts[id])
 		}
+		r.tables.Managed.Tables[state.InstanceTable].SeenAt = r.now
 		r.inputs = append(r.inputs, state.Tick{})
 		for len(r.inputs) > 0 {
 			in := r.inputs[0]
--- a/pkg/core/state/managed.go
+++ b/pkg/core/state/managed.go
@@ -432,10 +432,12 @@
 type HostReport struct {
 	Host   HostID
 	SentAt time.Duration
-	// OK is false when no answer came; Refused is then set when the host refused
-	// the connection, as one without a listener does.
-	OK      bool
-	Refused bool
+	// OK is false when no answer came. Refused is then set when the host refused
+	// the connection, as one without a listener does, and Replaced when another
+	// process answers at its address.
+	OK       bool
+	Refused  bool
+	Replaced bool
 	// Sequence is the number of orders that the host has begun in this life.
 	Sequence   uint64
 	Born       int64
