Keep every host able to serve either model without a load

Cause: repair waited for loads of 12 to 16 s, since a host holds one staged model. A host joins the model that it served last in 0.2 s, so the staged one is now always another: each host can serve two. Free hosts form the group whose model has the most work, and groups of one model end for another only where the busiest groups then have 13% less work. Tests: pure decisions with the load pattern of each, and fake hosts for survivors, unreached and leaving leaders, late orders, a lost lease and a stale list.

--- a/pkg/core/formation/convert.go
+++ b/pkg/core/formation/convert.go
@@ -1,71 +1,123 @@
 package formation
 
 import (
-	"slices"
+	"log/slog"
 	"time"
 
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 )
 
 const (
-	// convertTime is how long a group that gives its hosts to a larger one may
-	// finish its work. The larger group serves nobody meanwhile.
+	// convertTime is how long a group that gives its hosts to groups of another
+	// model may finish its work. The others serve nobody meanwhile.
 	convertTime = 1200 * time.Millisecond
-	// keepTime is for how long the hosts of a domain are kept for the larger
-	// group: closing, and a margin for orders that are sent again.
+	// keepTime is for how long the hosts of a domain are kept for the model that
+	// gets them: closing, and a margin for orders that are sent again.
 	keepTime = 3 * time.Second
-	// maxConverted is the number of groups that may end for a larger one.
+	// maxConverted is the number of groups that may end at once.
 	maxConverted = 2
+	// convertGain is the factor by which the work for the busiest groups must
+	// fall. The hosts serve nobody for about 3 s.
+	convertGain = 0.87
 	// needsAfter is the time of traffic after which the measured demand replaces
 	// the declared shares.
 	needsAfter = 3 * time.Second
+	// smoothTime is the time over which measured needs are averaged, so that
+	// groups do not move on each short change of the traffic.
+	smoothTime = 4 * time.Second
 )
 
-// conversion is a domain whose hosts are collected for a group of a model.
+// conversion is a domain whose hosts are collected for a model.
 type conversion struct {
 	model string
 	until time.Duration
 }
 
-// convertible is what a domain could give to a larger group.
-type convertible struct {
+// domainState is what a domain could give to groups of other models.
+type domainState struct {
 	domain state.DomainID
-	// free counts free hosts with the weights of the larger model.
-	free int
-	// groups are the groups of smaller models whose members all hold them.
-	groups []*group
+	// free counts the free hosts that can serve a model without a load.
+	free map[string]int
+	// groups holds the serving groups of each model; able counts for each model
+	// those of them whose members can all serve it without a load.
+	groups map[string][]*group
+	able   map[string]map[*group]bool
 }
 
-// chooseConversion returns the domain in which the fewest groups must end for a
-// larger one, and these groups.
+// exchange is a change of groups of one model into groups of another.
+type exchange struct {
+	domain   state.DomainID
+	from, to string
+	ended    []*group
+	gained   int
+	// pressure is the work for the busiest groups afterwards.
+	pressure float64
+}
+
+// chooseExchange returns the exchange after which the busiest groups have the
+// least work, or false when none helps enough.
 //
-// Load pattern: members of large groups are lost one after the other, and no
-// free host of the domain holds the weights. Three survivors that wait for a
-// load of 16 s serve nobody; a small group of the domain has what they lack.
-func chooseConversion(domains []convertible, size, memberSize int) (state.DomainID, []*group) {
-	best, ended := state.DomainID(""), []*group(nil)
+// Load pattern: members of large groups are lost one after the other, and three
+// survivors in a domain cannot make up a large group. A small group beside them
+// has what they lack. When the small model lacks groups instead, a large group
+// makes up two small ones.
+func chooseExchange(domains []domainState, models []state.ModelProfile, live map[string]int, needs map[string]float64) (exchange, bool) {
+	before := busiest(models, live, needs)
+	best := exchange{pressure: before * convertGain}
+	found := false
 	for _, d := range domains {
-		missing := size - d.free
-		if missing <= 0 || memberSize <= 0 {
-			continue
+		for i := range models {
+			for j := range models {
+				if i == j {
+					continue
+				}
+				e, ok := exchangeIn(d, &models[i], &models[j])
+				if !ok {
+					continue
+				}
+				after := map[string]int{}
+				for _, m := range models {
+					after[m.Name] = live[m.Name]
+				}
+				after[e.from] -= len(e.ended)
+				after[e.to] += e.gained
+				if e.pressure = busiest(models, after, needs); e.pressure < best.pressure {
+					best, found = e, true
+				}
+			}
 		}
-		n := (missing + memberSize - 1) / memberSize
-		if n > maxConverted || n > len(d.groups) {
-			continue
+	}
+	return best, found
+}
+
+// exchangeIn returns the exchange that ends the fewest groups of a domain.
+func exchangeIn(d domainState, from, to *state.ModelProfile) (exchange, bool) {
+	var able []*group
+	for _, g := range d.groups[from.Name] {
+		if d.able[to.Name][g] {
+			able = append(able, g)
 		}
-		if ended == nil || n < len(ended) {
-			best, ended = d.domain, d.groups[:n]
+	}
+	for n := 1; n <= min(maxConverted, len(able)); n++ {
+		if gained := (d.free[to.Name] + n*from.Size) / to.Size; gained > 0 {
+			return exchange{domain: d.domain, from: from.Name, to: to.Name, ended: able[:n], gained: gained}, true
 		}
 	}
-	return best, ended
+	return exchange{}, false
+}
+
+func busiest(models []state.ModelProfile, live map[string]int, needs map[string]float64) float64 {
+	most := 0.0
+	for _, m := range models {
+		most = max(most, pressure(live, needs, m.Name))
+	}
+	return most
 }
 
-// convert ends small groups whose hosts can make up a group of the largest
-// model, while the groups of that model have more work than the small ones would
-// have afterwards.
-func (s *System) convert(now time.Duration, service *state.ServiceProfile, free []freeHost, live, wanted map[string]int, needs map[string]float64, out *state.Outbox) {
-	large := largest(service.Engine.Models)
-	if large == nil || !s.m.TrafficSeen || live[large.Name] >= wanted[large.Name] {
+// convert ends groups whose hosts serve better in groups of another model. One
+// domain changes at a time.
+func (s *System) convert(now time.Duration, service *state.ServiceProfile, free []freeHost, live map[string]int, needs map[string]float64, out *state.Outbox) {
+	if s.trafficAt == 0 || now-s.trafficAt < needsAfter {
 		return
 	}
 	for _, c := range s.conversions {
@@ -73,36 +125,73 @@
 			return
 		}
 	}
-	for i := range service.Engine.Models {
-		small := &service.Engine.Models[i]
-		if small.Size >= large.Size {
+	e, ok := chooseExchange(s.domainStates(now, service, free), service.Engine.Models, live, needs)
+	if !ok {
+		return
+	}
+	s.conversions[e.domain] = conversion{model: e.to, until: now + keepTime}
+	for _, g := range e.ended {
+		g.converting = true
+		s.startRetiring(now, g, "its hosts go to model "+e.to, false, out,
+			slog.Float64("pressure", busiest(service.Engine.Models, live, needs)), slog.Float64("pressure_after", e.pressure))
+	}
+}
+
+func (s *System) domainStates(now time.Duration, service *state.ServiceProfile, free []freeHost) []domainState {
+	byDomain := map[state.DomainID]*domainState{}
+	of := func(domain state.DomainID) *domainState {
+		if byDomain[domain] == nil {
+			byDomain[domain] = &domainState{domain: domain, free: map[string]int{}, groups: map[string][]*group{}, able: map[string]map[*group]bool{}}
+		}
+		return byDomain[domain]
+	}
+	for i := range free {
+		for _, m := range service.Engine.Models {
+			if free[i].warmth(m.Name) < cold {
+				of(free[i].domain).free[m.Name]++
+			}
+		}
+	}
+	for _, id := range sortedKeys(s.groups) {
+		g := s.groups[id]
+		if g.service != service.Name || g.retiring || s.plans[id] != nil || len(g.members) != s.size(g) {
 			continue
 		}
-		domain, groups := chooseConversion(s.convertibles(now, service.Name, small, large, free), large.Size, small.Size)
-		if len(groups) == 0 || !isWorthIt(live, needs, large.Name, small.Name, len(groups)) {
+		leader := s.hosts[g.leader()]
+		if phase, known := s.phase(now, g); !known || phase != state.MemberOpen || leader == nil || s.m.Evacuated[leader.dc] {
 			continue
 		}
-		s.conversions[domain] = conversion{model: large.Name, until: now + keepTime}
-		for _, g := range groups {
-			g.converting = true
-			s.startRetiring(now, g, "hosts go to a larger group", false, out)
+		d := of(leader.domain)
+		d.groups[g.model] = append(d.groups[g.model], g)
+		for _, m := range service.Engine.Models {
+			if s.canAllServe(g, m.Name) {
+				if d.able[m.Name] == nil {
+					d.able[m.Name] = map[*group]bool{}
+				}
+				d.able[m.Name][g] = true
+			}
 		}
-		return
 	}
+	var out []domainState
+	for _, domain := range sortedKeys(byDomain) {
+		out = append(out, *byDomain[domain])
+	}
+	return out
 }
 
-// convertGain is the factor by which the work for the busiest groups must fall.
-const convertGain = 0.9
-
-// isWorthIt reports whether the busiest groups have less work with one large
-// group more and some small ones less.
-func isWorthIt(live map[string]int, needs map[string]float64, large, small string, ended int) bool {
-	if live[small] <= ended {
-		return false
-	}
-	before := max(pressure(live, needs, large), pressure(live, needs, small))
-	after := map[string]int{large: live[large] + 1, small: live[small] - ended}
-	return max(pressure(after, needs, large), pressure(after, needs, small)) < before*convertGain
+// canAllServe reports whether all members of a group live and can serve a model
+// without a load.
+func (s *System) canAllServe(g *group, model string) bool {
+	for _, id := range g.members {
+		h := s.hosts[id]
+		if h == nil || h.row == nil || h.dead || h.row.Draining {
+			return false
+		}
+		if f := (freeHost{model: h.model, staged: h.row.Staged}); f.warmth(model) == cold {
+			return false
+		}
+	}
+	return true
 }
 
 // needs returns the work for each model in groups: by the declared shares at the
@@ -128,10 +217,6 @@
 	return needs
 }
 
-// smoothTime is the time over which measured needs are averaged, so that groups
-// do not move on each short change of the traffic.
-const smoothTime = 4 * time.Second
-
 func (s *System) smoothNeeds(now time.Duration, needs map[string]float64) {
 	if s.smooth == nil {
 		s.smooth, s.smoothAt = needs, now
@@ -143,47 +228,3 @@
 		s.smooth[model] += (need - s.smooth[model]) * part
 	}
 }
-
-func (s *System) convertibles(now time.Duration, service string, small, large *state.ModelProfile, free []freeHost) []convertible {
-	byDomain := map[state.DomainID]*convertible{}
-	of := func(domain state.DomainID) *convertible {
-		if byDomain[domain] == nil {
-			byDomain[domain] = &convertible{domain: domain}
-		}
-		return byDomain[domain]
-	}
-	for i := range free {
-		if free[i].warmth(large.Name) < cold {
-			of(free[i].domain).free++
-		}
-	}
-	for _, id := range sortedKeys(s.groups) {
-		g := s.groups[id]
-		if g.service != service || g.model != small.Name || g.retiring || s.plans[id] != nil || len(g.members) != small.Size {
-			continue
-		}
-		if phase, known := s.phase(now, g); !known || phase != state.MemberOpen {
-			continue
-		}
-		if s.holdAll(g, large.Name) {
-			domain := s.hosts[g.leader()].domain
-			of(domain).groups = append(of(domain).groups, g)
-		}
-	}
-	var out []convertible
-	for _, domain := range sortedKeys(byDomain) {
-		out = append(out, *byDomain[domain])
-	}
-	return out
-}
-
-// holdAll reports whether all members of a group live and hold a model.
-func (s *System) holdAll(g *group, model string) bool {
-	for _, id := range g.members {
-		h := s.hosts[id]
-		if h == nil || h.row == nil || h.dead || h.row.Draining || !slices.Contains(h.row.Staged, model) {
-			return false
-		}
-	}
-	return true
-}
--- a/pkg/core/formation/formation.go
+++ b/pkg/core/formation/formation.go
@@ -118,7 +118,7 @@
 		service := &s.m.Catalogue.Services[i]
 		if service.Engine != nil {
 			s.formGroups(now, service, out)
-			s.stageSpares(now, service, out)
+			s.stageHosts(now, service, out)
 		}
 	}
 }
--- a/pkg/core/formation/group.go
+++ b/pkg/core/formation/group.go
@@ -51,7 +51,7 @@
 	cut       bool
 	retiredAt time.Duration
 	closed    bool
-	// converting is set when the hosts go to a larger group.
+	// converting is set when the hosts go to groups of another model.
 	converting bool
 	// released is set once the end of the group was logged.
 	released bool
@@ -95,6 +95,9 @@
 		if h.born != in.Born {
 			h.sequenced, h.dead, h.staging, h.sent = false, false, "", nil
 		}
+		if in.Model != "" || h.born != in.Born {
+			h.model = in.Model
+		}
 		h.row, h.address, h.domain, h.dc, h.born = in, in.Address, in.Domain, in.DataCentre, in.Born
 		if h.staging != "" && slices.Contains(in.Staged, h.staging) {
 			h.staging = ""
@@ -203,10 +206,10 @@
 	}
 }
 
-func (s *System) startRetiring(now time.Duration, g *group, reason string, cut bool, out *state.Outbox) {
+func (s *System) startRetiring(now time.Duration, g *group, reason string, cut bool, out *state.Outbox, why ...slog.Attr) {
 	g.retiring, g.cut, g.retiredAt = true, cut, now
-	out.Log(event.GroupRetired, slog.String("group", string(g.id)), slog.Uint64("epoch", g.epoch),
-		slog.String("reason", reason), slog.Bool("cut", cut))
+	out.Log(event.GroupRetired, append([]slog.Attr{slog.String("group", string(g.id)), slog.Uint64("epoch", g.epoch),
+		slog.String("reason", reason), slog.Bool("cut", cut)}, why...)...)
 }
 
 // defect returns why a group must end, and whether its work is to be cut off:
--- a/pkg/core/formation/host.go
+++ b/pkg/core/formation/host.go
@@ -32,6 +32,8 @@
 	domain  state.DomainID
 	dc      state.DataCentre
 	born    int64
+	// model is the one that the host served last in this life.
+	model string
 	// sequence is the number of orders that the host has begun, known from its
 	// report and counted on since.
 	sequence  uint64
--- a/pkg/core/formation/plan.go
+++ b/pkg/core/formation/plan.go
@@ -14,8 +14,7 @@
 
 // largeShare is the part of the groups of the largest model that its share of
 // the work asks for. What is left goes to groups of smaller models, whose members
-// hold the weights of the largest model and make up its groups when one loses a
-// member. Spare hosts that serve nobody are not kept.
+// can make up a large group when one loses a member.
 const largeShare = 0.75
 
 // warmth ranks how soon a host can serve a model.
@@ -30,11 +29,11 @@
 
 // freeHost is a host that may join a group.
 type freeHost struct {
-	id         state.HostID
-	domain     state.DomainID
-	dataCentre state.DataCentre
-	model      string
-	staged     []string
+	id     state.HostID
+	domain state.DomainID
+	// model is the one that the host served last.
+	model  string
+	staged []string
 	// keptFor is the model for which the hosts of the domain are collected; empty
 	// for any.
 	keptFor string
@@ -42,7 +41,7 @@
 
 func (f *freeHost) warmth(model string) warmth {
 	switch {
-	case f.model == model && slices.Contains(f.staged, model):
+	case f.model == model:
 		return warm
 	case slices.Contains(f.staged, model):
 		return staged
@@ -58,40 +57,38 @@
 	coldest warmth
 }
 
-// chooseGroup returns the next group to be formed, or false. The model that
-// lacks most of its groups comes first; of the fabric domains that have enough
-// free hosts, the one whose hosts are warmest, and of these the one with the
-// most free hosts, so that spares are left in all domains. Groups stay inside a
-// domain, across which they run several times slower. Without cold, hosts that
-// would have to load the weights are left out: they are staged first, and can be
-// spares meanwhile.
+// chooseGroup returns the next group to be formed, or false. The model whose
+// groups have the most work comes first. Groups stay inside a fabric domain,
+// across which they run several times slower. Before traffic any host may load
+// the weights, and no model gets more groups than wanted; later hosts that would
+// have to load are left out, and every host that can serve does.
 //
 // Load pattern: a member of a group is lost every few seconds, so the survivors
-// and a staged spare of the domain must make up the group again at once.
-func chooseGroup(free []freeHost, models []state.ModelProfile, live, wanted map[string]int, allowCold bool) (choice, bool) {
+// and what is free in the domain must make up a group again at once.
+func chooseGroup(free []freeHost, models []state.ModelProfile, live, wanted map[string]int, needs map[string]float64, traffic bool) (choice, bool) {
 	ranked := slices.Clone(models)
 	slices.SortStableFunc(ranked, func(a, b state.ModelProfile) int {
-		if allowCold {
-			// At the start, small groups must not break up the domains first.
+		if !traffic {
+			// Small groups must not break up the domains first.
 			return cmp.Compare(b.Size, a.Size)
 		}
-		return cmp.Or(cmp.Compare(filled(live, wanted, a.Name), filled(live, wanted, b.Name)), cmp.Compare(b.Size, a.Size))
+		return cmp.Or(cmp.Compare(pressure(live, needs, b.Name), pressure(live, needs, a.Name)), cmp.Compare(b.Size, a.Size))
 	})
 	for i := range ranked {
 		m := ranked[i]
-		if live[m.Name] >= wanted[m.Name] {
+		if !traffic && live[m.Name] >= wanted[m.Name] {
 			continue
 		}
-		if c, ok := chooseMembers(usableFor(free, m.Name), &m, allowCold); ok {
+		if c, ok := chooseMembers(usableFor(free, m.Name), &m, models, !traffic); ok {
 			return c, true
 		}
 	}
 	return choice{}, false
 }
 
-// filled returns the part of the wanted groups of a model that live.
-func filled(live, wanted map[string]int, model string) float64 {
-	return float64(live[model]) / float64(max(wanted[model], 1))
+// pressure is the work for each group of a model.
+func pressure(live map[string]int, needs map[string]float64, model string) float64 {
+	return needs[model] / max(float64(live[model]), 0.5)
 }
 
 // usableFor leaves out the hosts that are kept for another model.
@@ -99,13 +96,18 @@
 	return slices.DeleteFunc(slices.Clone(free), func(f freeHost) bool { return f.keptFor != "" && f.keptFor != model })
 }
 
-func chooseMembers(free []freeHost, m *state.ModelProfile, allowCold bool) (choice, bool) {
+// chooseMembers returns the warmest hosts of one domain. The largest model takes
+// the domain with the most free hosts, so that its groups are spread and smaller
+// ones beside each can give it hosts; any other takes the one with the fewest, so
+// that large groups still find room.
+func chooseMembers(free []freeHost, m *state.ModelProfile, models []state.ModelProfile, allowCold bool) (choice, bool) {
 	byDomain := map[state.DomainID][]freeHost{}
 	for _, f := range free {
 		if allowCold || f.warmth(m.Name) < cold {
 			byDomain[f.domain] = append(byDomain[f.domain], f)
 		}
 	}
+	isLargest := !slices.ContainsFunc(models, func(o state.ModelProfile) bool { return o.Size > m.Size })
 	var best choice
 	bestFree := 0
 	for _, domain := range sortedKeys(byDomain) {
@@ -116,16 +118,20 @@
 		slices.SortStableFunc(hosts, func(a, b freeHost) int { return cmp.Compare(a.warmth(m.Name), b.warmth(m.Name)) })
 		members := hosts[:m.Size]
 		c := choice{model: m, members: members, coldest: members[m.Size-1].warmth(m.Name)}
-		if best.model == nil || c.coldest < best.coldest || c.coldest == best.coldest && len(hosts) > bestFree {
+		better := len(hosts) < bestFree
+		if isLargest {
+			better = len(hosts) > bestFree
+		}
+		if best.model == nil || c.coldest < best.coldest || c.coldest == best.coldest && better {
 			best, bestFree = c, len(hosts)
 		}
 	}
 	return best, best.model != nil
 }
 
-// wantedGroups returns how many groups of each model the hosts are to make up:
-// the groups of all models are in proportion to the needs, less a part of the
-// largest model's, and the smallest model takes the rest.
+// wantedGroups returns how many groups of each model the hosts are to make up at
+// the start: the groups of all models are in proportion to the needs, less a part
+// of the largest model's, and the smallest model takes the rest.
 func wantedGroups(models []state.ModelProfile, needs map[string]float64, hosts int) map[string]int {
 	perNeed := 0.0
 	for _, m := range models {
@@ -152,17 +158,18 @@
 	return wanted
 }
 
-// formGroups forms the groups that are wanted from the free hosts.
+// formGroups forms groups from the free hosts.
 func (s *System) formGroups(now time.Duration, service *state.ServiceProfile, out *state.Outbox) {
+	models := service.Engine.Models
 	free := s.freeHosts(now, service.Name)
 	live, hosts := s.count(now, service.Name)
-	needs := s.needs(now, service.Engine.Models)
-	wanted := wantedGroups(service.Engine.Models, needs, hosts)
+	needs := s.needs(now, models)
+	wanted := wantedGroups(models, needs, hosts)
 	for {
-		c, ok := chooseGroup(free, service.Engine.Models, live, wanted, !s.m.TrafficSeen)
+		c, ok := chooseGroup(free, models, live, wanted, needs, s.m.TrafficSeen)
 		if !ok {
-			s.convert(now, service, free, live, wanted, needs, out)
-			s.logWaiting(now, service.Engine.Models, free, live, wanted, needs, out)
+			s.convert(now, service, free, live, needs, out)
+			s.logWaiting(now, models, free, live, needs, out)
 			return
 		}
 		s.begin(now, service, c, out)
@@ -173,28 +180,26 @@
 	}
 }
 
-// logWaiting says which groups cannot be formed and which hosts are free.
-func (s *System) logWaiting(now time.Duration, models []state.ModelProfile, free []freeHost, live, wanted map[string]int, needs map[string]float64, out *state.Outbox) {
-	if now < s.nextLog {
+// idleLog is the period of lines on hosts that serve nobody.
+const idleLog = 2 * time.Second
+
+// logWaiting says how many groups there are and which hosts are free.
+func (s *System) logWaiting(now time.Duration, models []state.ModelProfile, free []freeHost, live map[string]int, needs map[string]float64, out *state.Outbox) {
+	if now < s.nextLog || len(free) == 0 {
 		return
 	}
+	s.nextLog = now + idleLog
+	domains := map[string][]string{}
+	for _, f := range free {
+		domains[string(f.domain)] = append(domains[string(f.domain)], f.model+"|"+strings.Join(f.staged, "+"))
+	}
+	attrs := []slog.Attr{slog.Int("free", len(free)), slog.Any("domains", domains)}
 	for _, m := range models {
-		if live[m.Name] >= wanted[m.Name] {
-			continue
-		}
-		s.nextLog = now + waitingLog
-		domains := map[string][]string{}
-		for _, f := range free {
-			domains[string(f.domain)] = append(domains[string(f.domain)], strings.Join(f.staged, "+"))
-		}
-		out.Log(event.GroupWaiting, slog.String("model", m.Name), slog.Int("live", live[m.Name]), slog.Int("wanted", wanted[m.Name]),
-			slog.Float64("need", needs[m.Name]), slog.Any("free", domains))
+		attrs = append(attrs, slog.Group(m.Name, slog.Int("groups", live[m.Name]), slog.Float64("need", needs[m.Name])))
 	}
+	out.Log(event.GroupWaiting, attrs...)
 }
 
-// waitingLog is the period of lines on groups that cannot be formed.
-const waitingLog = 2 * time.Second
-
 // begin starts the formation of a group.
 func (s *System) begin(now time.Duration, service *state.ServiceProfile, c choice, out *state.Outbox) {
 	p := &plan{
@@ -204,8 +209,7 @@
 	p.id = state.GroupID("g" + strconv.FormatUint(p.epoch, 36))
 	for _, m := range c.members {
 		p.members = append(p.members, m.id)
-		h := s.hosts[m.id]
-		h.plan = p
+		s.hosts[m.id].plan = p
 	}
 	s.plans[p.id] = p
 	out.Log(event.GroupJoining, slog.String("group", string(p.id)), slog.Uint64("epoch", p.epoch), slog.String("model", p.model.Name),
@@ -233,13 +237,15 @@
 func (s *System) freeHosts(now time.Duration, service string) []freeHost {
 	var free []freeHost
 	for _, id := range sortedKeys(s.hosts) {
-		if h := s.hosts[id]; s.isFree(now, h, service) {
-			f := freeHost{id: id, domain: h.domain, dataCentre: h.dc, model: h.row.Model, staged: h.row.Staged}
-			if c := s.conversions[h.domain]; now < c.until {
-				f.keptFor = c.model
-			}
-			free = append(free, f)
+		h := s.hosts[id]
+		if !s.isFree(now, h, service) || s.m.Evacuated[h.dc] {
+			continue
+		}
+		f := freeHost{id: id, domain: h.domain, model: h.model, staged: h.row.Staged}
+		if c := s.conversions[h.domain]; now < c.until {
+			f.keptFor = c.model
 		}
+		free = append(free, f)
 	}
 	return free
 }
--- a/pkg/core/formation/rig_test.go
+++ b/pkg/core/formation/rig_test.go
@@ -45,6 +45,8 @@
 	revision uint64
 	orders   []state.HostOrder
 	inputs   []state.Input
+	// listStale stops the feed of the list of instances.
+	listStale bool
 	// violations are breaches of what must hold for hosts and groups.
 	violations []string
 }
@@ -108,7 +110,9 @@
 		for _, id := range sortedKeys(r.hosts) {
 			r.hostTime(r.hosts[id])
 		}
-		r.tables.Managed.Tables[state.InstanceTable].SeenAt = r.now
+		if !r.listStale {
+			r.tables.Managed.Tables[state.InstanceTable].SeenAt = r.now
+		}
 		r.inputs = append(r.inputs, state.Tick{})
 		for len(r.inputs) > 0 {
 			in := r.inputs[0]
@@ -335,4 +339,6 @@
 func (r *rig) startTraffic() {
 	r.run(9 * time.Second)
 	r.tables.Managed.TrafficSeen = true
+	r.tables.Managed.Demand = map[string]float64{large: 5, small: 5.6}
+	r.run(5 * time.Second)
 }
