--- a/pkg/core/dispatch/attempt.go
+++ b/pkg/core/dispatch/attempt.go
@@ -48,22 +48,25 @@
 	}
 	switch ev.Stage {
 	case state.AttemptFirstByte:
-		s.began(now, j, out)
+		if j.firstAt == 0 {
+			j.firstAt = now
+		}
+		s.began(j, out)
 	case state.AttemptStalled:
 		s.stalled(now, j, out)
 	case state.AttemptFlowing:
-		s.flows(now, j, out)
+		s.flows(j, out)
 	case state.AttemptEnded:
 		s.attemptEnded(now, j, ev, out)
 	}
 }
 
-func (s *System) began(now time.Duration, j *job, out *state.Outbox) {
+func (s *System) began(j *job, out *state.Outbox) {
 	t := j.at
 	if j.begun {
 		return
 	}
-	s.flows(now, j, out)
+	s.flows(j, out)
 	j.begun = true
 	t.load.Waiting--
 	t.load.WaitingTokens -= j.req.Arrival.Routed.PromptTokens
@@ -112,7 +115,7 @@
 	return false
 }
 
-func (s *System) flows(now time.Duration, j *job, out *state.Outbox) {
+func (s *System) flows(j *job, out *state.Outbox) {
 	t := j.at
 	if j.stalled {
 		j.stalled = false
@@ -222,7 +225,7 @@
 		s.answer(now, req, true, out)
 		return
 	}
-	s.refuse(now, req, s.failure(now, j, ev), out)
+	s.refuse(now, req, s.failure(now, j), out)
 	s.serveWaiting(now, out)
 }
 
@@ -262,7 +265,7 @@
 	}
 }
 
-func (s *System) failure(now time.Duration, j *job, ev state.AttemptEvent) *apierror.Error {
+func (s *System) failure(now time.Duration, j *job) *apierror.Error {
 	if !j.req.MayHaveRun {
 		return unavailable("target_refused",
 			"the target did not run the request; send it again").After(s.spread(j, now, refusedRetry))
--- a/pkg/core/dispatch/dispatch.go
+++ b/pkg/core/dispatch/dispatch.go
@@ -23,8 +23,10 @@
 	begun bool
 	// stalled is set while the running attempt carries nothing.
 	stalled bool
-	// worth is the part of the queue's order that does not change.
+	// objective is when the objective of the request ends.
 	objective time.Duration
+	// firstAt is when the first event of all attempts arrived.
+	firstAt time.Duration
 }
 
 // System reads Managed and Config; it writes the rows of Requests, and of
@@ -63,7 +65,7 @@
 // Step implements state.System.
 func (s *System) Step(now time.Duration, in state.Input, out *state.Outbox) {
 	if s.m.Catalogue != nil && s.built != s.m.Changed {
-		s.rebuild(now)
+		s.rebuild()
 		s.serveWaiting(now, out)
 	}
 	switch in := in.(type) {
@@ -254,6 +256,12 @@
 // given to the caller now; any other has been passed on.
 func (s *System) answer(now time.Duration, req *state.Request, held bool, out *state.Outbox) {
 	s.t.EndWithAnswer(now, req, state.Reply{Held: held}, out)
+	first := now
+	if j := s.jobs[req.Arrival.ID]; j != nil && j.firstAt > 0 {
+		first = j.firstAt
+	}
+	out.Log(event.RequestEnded, slog.String("request", req.Arrival.Routed.AttemptID), slog.String("target", string(req.Target)),
+		slog.Int("attempts", req.Attempt), slog.Duration("first", first-req.ArrivedAt), slog.Duration("age", now-req.ArrivedAt))
 	s.ended(now, req)
 }
 
--- a/pkg/core/dispatch/target.go
+++ b/pkg/core/dispatch/target.go
@@ -71,7 +71,7 @@
 
 // rebuild takes the targets from the instances. A target keeps its counts while
 // the same process leads the same group.
-func (s *System) rebuild(now time.Duration) {
+func (s *System) rebuild() {
 	s.built = s.m.Changed
 	if s.routes == nil || s.routes.version != s.m.Catalogue.Version {
 		s.routes = newRoutes(s.m.Catalogue)
--- a/pkg/core/formation/formation_test.go
+++ b/pkg/core/formation/formation_test.go
@@ -25,7 +25,7 @@
 // before traffic, or that span fabric domains.
 func TestGroupsBeforeTraffic(t *testing.T) {
 	g := gomega.NewWithT(t)
-	r := newRig(t, 6)
+	r := newRig(t)
 	r.run(9 * time.Second)
 	g.Expect(len(r.open(large))).To(gomega.BeNumerically(">=", 6))
 	g.Expect(len(r.open(small))).To(gomega.BeNumerically(">=", 6))
@@ -65,7 +65,7 @@
 		rank  int
 	}{{large, 2}, {small, 1}} {
 		g := gomega.NewWithT(t)
-		r := newRig(t, 6)
+		r := newRig(t)
 		r.startTraffic()
 		id := r.memberOf(c.model, c.rank)
 		r.lose(id)
@@ -80,7 +80,7 @@
 // serve for others. Its members leave it and join others only once it has broken.
 func TestUnreachedLeaderKeepsItsMembers(t *testing.T) {
 	g := gomega.NewWithT(t)
-	r := newRig(t, 6)
+	r := newRig(t)
 	r.startTraffic()
 	leader := r.memberOf(large, 0)
 	group := r.hosts[leader].row.Membership
@@ -110,7 +110,7 @@
 // then, and its entry may not have shown it during an outage of the store.
 func TestRefusedConnectionOfALeavingLeader(t *testing.T) {
 	g := gomega.NewWithT(t)
-	r := newRig(t, 6)
+	r := newRig(t)
 	r.startTraffic()
 	r.tables.Managed.Tables[state.InstanceTable].FailedAt = r.now - time.Second
 	leader := r.memberOf(large, 0)
@@ -126,7 +126,7 @@
 // node has replaced.
 func TestHolderThatLostTheLeaseStops(t *testing.T) {
 	g := gomega.NewWithT(t)
-	r := newRig(t, 6)
+	r := newRig(t)
 	r.startTraffic()
 	m := r.tables.Managed
 	r.revision++
@@ -145,7 +145,7 @@
 // ones: each has the number of orders before it as its condition.
 func TestLateOrders(t *testing.T) {
 	g := gomega.NewWithT(t)
-	r := newRig(t, 6)
+	r := newRig(t)
 	r.startTraffic()
 	for _, id := range sortedKeys(r.hosts) {
 		r.hosts[id].lose = 1
@@ -160,7 +160,7 @@
 // an outage of the store.
 func TestStaleListIsNotActedOn(t *testing.T) {
 	g := gomega.NewWithT(t)
-	r := newRig(t, 6)
+	r := newRig(t)
 	r.startTraffic()
 	r.listStale = true
 	r.run(listFor)
--- a/pkg/core/formation/rig_test.go
+++ b/pkg/core/formation/rig_test.go
@@ -54,9 +54,11 @@
 const (
 	large = "large"
 	small = "small"
+	// domainCount is the number of fabric domains, of eight hosts each.
+	domainCount = 6
 )
 
-func newRig(t *testing.T, domains int) *rig {
+func newRig(t *testing.T) *rig {
 	tables := state.NewTables(state.Self{ID: "n1", DataCentre: "a", Incarnation: 1}, state.Switches{}, 1)
 	tables.Managed = state.NewManaged()
 	r := &rig{t: t, tables: tables, system: New(tables), hosts: map[state.HostID]*fakeHost{}}
@@ -69,7 +71,7 @@
 	}
 	tables.Managed.Catalogue = &state.Catalogue{Version: 1, Services: []state.ServiceProfile{{Name: "pool", Engine: r.engine}}}
 	tables.Config.Fresh, tables.Config.Known = true, true
-	for d := range domains {
+	for d := range domainCount {
 		for i := range 8 {
 			r.add(state.HostID(fmt.Sprintf("h%d-%d", d, i)), state.DomainID(fmt.Sprintf("d%d", d)))
 		}
--- a/pkg/logging/logging.go
+++ b/pkg/logging/logging.go
@@ -88,7 +88,7 @@
 }
 
 // NewHandler returns a handler of JSON lines to a writer.
-func NewHandler(w *Writer, level slog.Leveler) *Handler {
+func NewHandler(w *Writer, level slog.Leveler) *Handler { //nolint:misspell // The name of a type of log/slog.
 	return &Handler{
 		Handler: slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level}),
 		shared:  &counts{lines: map[string]int{}, writer: w},
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -51,6 +51,7 @@
 		Peer: "127.0.0.1:8070", PeerAddress: "127.0.0.1:8070", PeerKey: "secret",
 		Platform: "http://127.0.0.1:7000", Drain: 90 * time.Second,
 		Operators: []settings.Operator{{Name: "ann", Key: `a#key;with%(odd)s "signs"`}},
+		ReadyPath: "/readyz",
 	}))
 }
 
--- a/test/process/process_test.go
+++ b/test/process/process_test.go
@@ -120,7 +120,7 @@
 // linked waits until all nodes have a link to each other.
 func (r *rig) linked(nodes ...*process) {
 	for _, p := range nodes {
-		r.Eventually(func() int { return strings.Count(p.logged(), "event=1100") }, bound, poll).
+		r.Eventually(func() int { return strings.Count(p.logged(), `"event":1100`) }, bound, poll).
 			Should(BeNumerically(">=", len(nodes)-1))
 	}
 }
@@ -134,7 +134,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), bound)
 	defer cancel()
 	a.signal(syscall.SIGSTOP)
-	r.Eventually(b.logged, bound, poll).Should(ContainSubstring("event=1101"))
+	r.Eventually(b.logged, bound, poll).Should(ContainSubstring(`"event":1101`))
 	reply, err := b.operator().OutTarget(ctx, "g1", 0)
 	r.Expect(err).NotTo(HaveOccurred())
 	_, err = b.operator().WaitInForce(ctx, reply.Version)
@@ -168,7 +168,7 @@
 	nodes := []*process{r.start("n1"), r.start("n2"), r.start("n3")}
 	r.linked(nodes...)
 	r.down.Store(true)
-	r.Eventually(nodes[0].logged, bound, poll).Should(ContainSubstring("event=1404"))
+	r.Eventually(nodes[0].logged, bound, poll).Should(ContainSubstring(`"event":1404`))
 	// Evidence from the platform lasts 2 s; the outage lasts several times that.
 	for began := time.Now(); time.Since(began) < 10*time.Second; time.Sleep(100 * time.Millisecond) {
 		for _, p := range nodes {
--- a/test/process/rig_test.go
+++ b/test/process/rig_test.go
@@ -27,8 +27,8 @@
 	"github.com/apricotgrade/apricotgrade/internal/gozero"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 	"github.com/apricotgrade/apricotgrade/pkg/operator"
-	"github.com/apricotgrade/apricotgrade/pkg/store/memory"
 	"github.com/apricotgrade/apricotgrade/pkg/standin"
+	"github.com/apricotgrade/apricotgrade/pkg/store/memory"
 )
 
 // bound is far above the time that any condition needs on a busy machine.
@@ -164,7 +164,7 @@
 	return p.logs.String()
 }
 
-var listens = regexp.MustCompile(`msg="node started" event=1400 callers=(\S+) peers=\S+ operators=(\S+)`)
+var listens = regexp.MustCompile(`"msg":"node started","event":1400,"callers":"([^"]+)","peers":"[^"]+","operators":"([^"]+)"`)
 
 // freeAddress returns an address for the listener of peers, which is published
 // before it opens.
@@ -209,7 +209,7 @@
 `, id, r.freeAddress(), r.url)
 	r.Expect(os.WriteFile(path, []byte(ini), 0o600)).To(Succeed())
 	p.cmd = exec.Command(daemonPath, "-settings", path)
-	p.cmd.Stderr = p
+	p.cmd.Stdout, p.cmd.Stderr = p, p
 	r.Expect(p.cmd.Start()).To(Succeed())
 	go func() { p.exited <- p.cmd.Wait() }()
 	r.t.Cleanup(func() {
