Let one node of a data centre follow the store for the others

Above nine nodes three hubs a data centre pass bulletins and rows on, and leaves talk to one of them.

--- a/pkg/core/formation/lease.go
+++ b/pkg/core/formation/lease.go
@@ -12,18 +12,20 @@
 const (
 	// leaseTime is for how long the holder acts after the send time of its last
 	// renewal.
-	leaseTime = 2 * time.Second
+	leaseTime = 2200 * time.Millisecond
 	// renewPeriod leaves three tries within the lease.
-	renewPeriod = 500 * time.Millisecond
+	renewPeriod = 700 * time.Millisecond
 	// renewRetry is the pause after a renewal without an answer.
 	renewRetry = 200 * time.Millisecond
 	// takeAfter is how long a renewal must be missing before another node takes
 	// over; takeUnheard is the same where the holder's bulletins are missing too.
 	// An old holder that still acts is stopped by the fences of the hosts.
-	takeAfter   = 2 * time.Second
+	takeAfter   = 2500 * time.Millisecond
 	takeUnheard = 1100 * time.Millisecond
 	// rankDelay keeps the candidates apart in time.
 	rankDelay = 120 * time.Millisecond
+	// maxRank bounds the delay of the last candidates.
+	maxRank = 8
 	// replyTimeout is when a call without a reply counts as lost. It is above the
 	// daemon's own bound.
 	replyTimeout = 3 * time.Second
@@ -81,7 +83,7 @@
 // nothing.
 func (s *System) mayTake(now time.Duration) bool {
 	seen := &s.m.Lease
-	if s.m.Catalogue == nil || !s.t.Config.Fresh {
+	if s.m.Catalogue == nil || !s.t.Config.Fresh || !s.m.Following {
 		return false
 	}
 	if seen.Revision == 0 || seen.Row.Holder == "" || seen.Row.Holder == s.t.Self.ID {
@@ -92,7 +94,7 @@
 		wait = takeUnheard
 	}
 	rank := max(slices.Index(s.m.Nodes.Keys(), s.t.Self.ID), 0)
-	return now-seen.SeenAt > wait+time.Duration(rank)*rankDelay
+	return now-seen.SeenAt > wait+time.Duration(min(rank, maxRank))*rankDelay
 }
 
 func (s *System) write(now time.Duration, row state.LeaseRow, revision uint64, taking bool, out *state.Outbox) {
--- a/pkg/core/formation/rig_test.go
+++ b/pkg/core/formation/rig_test.go
@@ -71,6 +71,7 @@
 	}
 	tables.Managed.Catalogue = &state.Catalogue{Version: 1, Services: []state.ServiceProfile{{Name: "pool", Engine: r.engine}}}
 	tables.Config.Fresh, tables.Config.Known = true, true
+	tables.Managed.Following = true
 	for d := range domainCount {
 		for i := range 8 {
 			r.add(state.HostID(fmt.Sprintf("h%d-%d", d, i)), state.DomainID(fmt.Sprintf("d%d", d)))
--- a/pkg/core/inventory/inventory.go
+++ b/pkg/core/inventory/inventory.go
@@ -26,13 +26,16 @@
 	// outage.
 	outageTime = 2 * time.Second
 	// relayDelay is how long a peer may be ahead before this node asks it for its
-	// table. The store's own feed is faster unless it fails.
+	// table. Rows are passed on at once unless a link failed.
 	relayDelay = 250 * time.Millisecond
 	// relayPeriod bounds how often peers are asked for one table.
 	relayPeriod = 300 * time.Millisecond
 	// heardFor is how long a peer's last bulletin holds. It is ten periods, and
 	// below the time for which cut-off nodes may go on.
 	heardFor = time.Second
+	// evidenceFor is the age of a peer's last answer of the store up to which this
+	// node relies on it. A call lasts for 1 s, and a lost one for 1.6 s.
+	evidenceFor = 1800 * time.Millisecond
 	// isolatedAfter is the age of the last answer of the store after which a node
 	// that hears no peer takes no new work.
 	isolatedAfter = 2500 * time.Millisecond
@@ -55,22 +58,34 @@
 	outageEnd   time.Duration
 	failing     bool
 	nextBeat    time.Duration
+	nextAlive   time.Duration
 	nextAsk     [3]time.Duration
 	aheadSince  [3]time.Duration
 	registerAt  time.Duration
 	registering uint64
 	linked      map[state.NodeID]bool
-	revisions   map[state.NodeID][2]uint64
-	firstHeard  map[state.NodeID]time.Duration
-	peers       []state.NodeEntry
+	// bulletins holds the last one of each linked peer.
+	bulletins map[state.NodeID]*state.Bulletin
+	// alive dates when a node was last heard by this node or by one that said so.
+	alive map[state.NodeID]time.Duration
+	peers []state.NodeEntry
+	// hubs is the set of nodes that pass bulletins and rows on; nil where all
+	// nodes are linked with each other.
+	hubs map[state.NodeID]bool
+	// sent are the counts in this node's last bulletin to its hub.
+	sent []state.TargetLoad
+	// leafStalled holds the words of leaves on stalled targets.
+	leafStalled map[state.HostID]time.Duration
+	following   state.FollowTables
+	started     bool
 }
 
 // New returns the inventory system.
 func New(t *state.Tables) *System {
 	return &System{
 		t: t, m: t.Managed, missing: state.NewDueQueue[state.HostID](), outageEnd: -returnTime,
-		linked: map[state.NodeID]bool{}, revisions: map[state.NodeID][2]uint64{},
-		firstHeard: map[state.NodeID]time.Duration{},
+		linked: map[state.NodeID]bool{}, bulletins: map[state.NodeID]*state.Bulletin{},
+		alive: map[state.NodeID]time.Duration{}, leafStalled: map[state.HostID]time.Duration{},
 	}
 }
 
@@ -108,7 +123,11 @@
 	if in.Table == state.InstanceTable && s.failing {
 		s.failing, s.outageEnd = false, now
 	}
+	since := view.Revision
 	s.apply(now, in, out)
+	if len(in.Rows) > 0 && !in.Whole {
+		s.passOn(in, since, "", out)
+	}
 }
 
 // apply takes rows, each in its newest revision only.
@@ -255,6 +274,7 @@
 	}
 	s.register(now, out)
 	s.judge(now, out)
+	s.follow(now, out)
 	if now >= s.nextBeat {
 		s.nextBeat = now + state.BulletinPeriod
 		s.bulletin(now, out)
--- a/pkg/core/inventory/peers.go
+++ b/pkg/core/inventory/peers.go
@@ -9,6 +9,9 @@
 	"github.com/apricotgrade/apricotgrade/pkg/event"
 )
 
+// aliveFor is how long a word on a node that another one hears holds.
+const aliveFor = 3 * time.Second
+
 // register writes this node's row in the system's own table where it is absent
 // or from an earlier life.
 func (s *System) register(now time.Duration, out *state.Outbox) {
@@ -27,35 +30,24 @@
 	}})
 }
 
-// setPeers keeps links to all registered nodes.
-func (s *System) setPeers(out *state.Outbox) {
-	var peers []state.NodeEntry
-	for id, row := range s.m.Nodes.All() {
-		if id != s.t.Self.ID {
-			peers = append(peers, row.Entry)
-		}
-	}
-	if slices.Equal(peers, s.peers) {
-		return
-	}
-	s.peers = peers
-	s.m.Changed++
-	out.Add(state.SetPeers{Peers: peers})
-}
-
 func (s *System) link(now time.Duration, in state.PeerLink, out *state.Outbox) {
 	if in.Up {
 		s.linked[in.Peer] = true
-		s.m.Heard[in.Peer] = now
 		out.Log(event.PeerUp, slog.String("peer", string(in.Peer)))
 		return
 	}
 	delete(s.linked, in.Peer)
-	delete(s.m.Heard, in.Peer)
-	delete(s.m.PeerLoads, in.Peer)
-	delete(s.m.PeerDemand, in.Peer)
-	delete(s.revisions, in.Peer)
+	s.unhear(in.Peer)
 	out.Log(event.PeerDown, slog.String("peer", string(in.Peer)))
+	s.follow(now, out)
+}
+
+// unhear forgets what a peer last said.
+func (s *System) unhear(id state.NodeID) {
+	delete(s.m.Heard, id)
+	delete(s.m.PeerLoads, id)
+	delete(s.m.PeerDemand, id)
+	delete(s.bulletins, id)
 }
 
 func (s *System) message(now time.Duration, in state.PeerMessage, out *state.Outbox) {
@@ -67,23 +59,54 @@
 			out.Add(state.SendPeer{To: in.From, Message: state.Message{Rows: &rows}})
 		}
 	case m.Rows != nil:
-		rows := *m.Rows
-		if int(rows.Table) >= len(s.m.Tables) || rows.Revision <= s.m.Tables[rows.Table].Revision {
-			return
-		}
-		out.Log(event.RowsRelayed, slog.Int("table", int(rows.Table)), slog.String("peer", string(in.From)),
+		s.relayed(now, in.From, *m.Rows, out)
+	}
+}
+
+// relayed takes rows that a peer passed on. Rows after a gap are left out: the
+// whole table is asked for when the peer's bulletin shows it to be ahead.
+func (s *System) relayed(now time.Duration, from state.NodeID, rows state.RowsSeen, out *state.Outbox) {
+	if int(rows.Table) >= len(s.m.Tables) {
+		return
+	}
+	view := &s.m.Tables[rows.Table]
+	if rows.Revision <= view.Revision || !rows.Whole && rows.Since > view.Revision {
+		return
+	}
+	if rows.Whole {
+		out.Log(event.RowsRelayed, slog.Int("table", int(rows.Table)), slog.String("peer", string(from)),
 			slog.Uint64("revision", rows.Revision))
-		s.m.Tables[rows.Table].RelayedAt = now
-		s.apply(now, rows, out)
+	}
+	view.RelayedAt = now
+	since := view.Revision
+	s.apply(now, rows, out)
+	view.Revision = max(view.Revision, rows.Revision)
+	s.judge(now, out)
+	if !rows.Whole {
+		s.passOn(rows, since, from, out)
 	}
 }
 
 func (s *System) heard(now time.Duration, from state.NodeID, b *state.Bulletin) {
+	if !s.linked[from] {
+		return
+	}
 	s.m.Heard[from] = now
-	s.m.PeerLoads[from] = b.Loads
-	s.revisions[from] = [2]uint64{b.Operator, b.Instances}
+	s.alive[from] = now
+	s.bulletins[from] = b
+	for _, id := range b.Alive {
+		s.alive[id] = max(s.alive[id], now-aliveFor/2)
+	}
+	loads := b.Loads
+	if b.Total {
+		loads = subtract(loads, s.sent)
+	}
+	s.m.PeerLoads[from] = loads
 	for _, id := range b.Stalled {
 		s.m.PeerStalled[id] = now
+		if s.isLeaf(from) {
+			s.leafStalled[id] = now
+		}
 	}
 	demand := map[string]float64{}
 	for _, d := range b.Demand {
@@ -93,42 +116,110 @@
 	s.m.TrafficSeen = s.m.TrafficSeen || b.Traffic
 }
 
-// bulletin tells all linked peers what this node does and knows.
+// bulletin tells peers what this node does and knows. A hub speaks for its
+// leaves to the other hubs, and tells its leaves the sums over all nodes.
 func (s *System) bulletin(now time.Duration, out *state.Outbox) {
-	for id, at := range s.m.PeerStalled {
-		if now-at > stalledFor {
-			delete(s.m.PeerStalled, id)
+	s.forgetWords(now)
+	own := s.newBulletin(now)
+	own.Loads, own.Stalled = s.ownLoads(), sortedKeys(s.m.Stalled)
+	own.Demand = demandList(s.m.Demand)
+	if s.hubs == nil {
+		for _, id := range sortedKeys(s.linked) {
+			out.Add(state.SendPeer{To: id, Message: state.Message{Bulletin: own}})
+		}
+		return
+	}
+	if !s.hubs[s.t.Self.ID] {
+		if hub := s.primaryHub(now); hub != "" {
+			s.sent = own.Loads
+			out.Add(state.SendPeer{To: hub, Message: state.Message{Bulletin: own}})
+		}
+		return
+	}
+	s.hubBulletins(now, own, out)
+}
+
+func (s *System) hubBulletins(now time.Duration, own *state.Bulletin, out *state.Outbox) {
+	forHubs, forLeaves := *own, *own
+	part, total := [][]state.TargetLoad{own.Loads}, [][]state.TargetLoad{own.Loads}
+	demand := []map[string]float64{s.m.Demand}
+	for _, id := range sortedKeys(s.m.PeerLoads) {
+		total = append(total, s.m.PeerLoads[id])
+		if s.isLeaf(id) {
+			part = append(part, s.m.PeerLoads[id])
+			demand = append(demand, s.m.PeerDemand[id])
 		}
 	}
-	b := &state.Bulletin{
-		Operator:    s.m.Tables[state.OperatorTable].Revision,
-		Instances:   s.m.Tables[state.InstanceTable].Revision,
-		EvidenceAge: -1, Traffic: s.m.TrafficSeen,
+	forHubs.Loads, forHubs.Demand = sum(part), demandList(sumDemand(demand))
+	forHubs.Stalled = union(s.m.Stalled, s.leafStalled)
+	forLeaves.Loads, forLeaves.Demand, forLeaves.Total = sum(total), nil, true
+	forLeaves.Stalled = union(s.m.Stalled, s.m.PeerStalled)
+	for _, id := range sortedKeys(s.linked) {
+		switch {
+		case s.hubs[id]:
+			out.Add(state.SendPeer{To: id, Message: state.Message{Bulletin: &forHubs}})
+		case now-s.m.Heard[id] < heardFor:
+			out.Add(state.SendPeer{To: id, Message: state.Message{Bulletin: &forLeaves}})
+		}
+	}
+}
+
+func (s *System) newBulletin(now time.Duration) *state.Bulletin {
+	b := &state.Bulletin{EvidenceAge: -1, Traffic: s.m.TrafficSeen}
+	for i := range s.m.Tables {
+		b.Revisions = append(b.Revisions, s.m.Tables[i].Revision)
 	}
 	if seen := s.m.Tables[state.OperatorTable].SeenAt; seen >= 0 {
 		b.EvidenceAge = now - seen
 	}
-	for _, id := range sortedKeys(s.m.Loads) {
-		b.Loads = append(b.Loads, *s.m.Loads[id])
+	if now >= s.nextAlive {
+		s.nextAlive = now + aliveFor/3
+		for _, id := range sortedKeys(s.m.Heard) {
+			if now-s.m.Heard[id] < heardFor {
+				b.Alive = append(b.Alive, id)
+			}
+		}
 	}
-	b.Stalled = sortedKeys(s.m.Stalled)
-	for _, model := range sortedKeys(s.m.Demand) {
-		b.Demand = append(b.Demand, state.ModelDemand{Model: model, Work: s.m.Demand[model]})
+	return b
+}
+
+// forgetWords drops what peers said too long ago.
+func (s *System) forgetWords(now time.Duration) {
+	for id, at := range s.m.PeerStalled {
+		if now-at > stalledFor {
+			delete(s.m.PeerStalled, id)
+		}
 	}
-	for _, id := range sortedKeys(s.linked) {
-		out.Add(state.SendPeer{To: id, Message: state.Message{Bulletin: b}})
+	for id, at := range s.leafStalled {
+		if now-at > stalledFor {
+			delete(s.leafStalled, id)
+		}
+	}
+	for id, at := range s.m.Heard {
+		if now-at > aliveFor {
+			s.unhear(id)
+		}
 	}
 }
 
-// askPeers asks a peer that holds a newer table than this node, where the feed
-// of the store has not brought it.
+func (s *System) ownLoads() []state.TargetLoad {
+	var loads []state.TargetLoad
+	for _, id := range sortedKeys(s.m.Loads) {
+		if l := s.m.Loads[id]; l.Running != 0 || l.Waiting != 0 {
+			loads = append(loads, *l)
+		}
+	}
+	return loads
+}
+
+// askPeers asks a peer that holds a newer table than this node, where neither
+// the feed of the store nor the rows passed on have brought it.
 func (s *System) askPeers(now time.Duration, out *state.Outbox) {
-	for i, table := range []state.TableKind{state.OperatorTable, state.InstanceTable} {
-		view := &s.m.Tables[table]
-		best, from := view.Revision, state.NodeID("")
-		for _, id := range sortedKeys(s.revisions) {
-			if r := s.revisions[id][i]; r > best {
-				best, from = r, id
+	for i := range s.m.Tables {
+		best, from := s.m.Tables[i].Revision, state.NodeID("")
+		for _, id := range sortedKeys(s.bulletins) {
+			if b := s.bulletins[id]; i < len(b.Revisions) && b.Revisions[i] > best {
+				best, from = b.Revisions[i], id
 			}
 		}
 		if from == "" {
@@ -142,7 +233,7 @@
 			continue
 		}
 		s.nextAsk[i] = now + relayPeriod
-		out.Add(state.SendPeer{To: from, Message: state.Message{RowsRequest: &state.RowsRequest{Table: table}}})
+		out.Add(state.SendPeer{To: from, Message: state.Message{RowsRequest: &state.RowsRequest{Table: state.TableKind(i)}}})
 	}
 }
 
@@ -167,7 +258,12 @@
 			}
 		}
 	default:
-		return state.RowsSeen{}, false
+		for id, row := range s.m.Nodes.All() {
+			out.Rows = append(out.Rows, state.SeenRow{Key: state.PrefixNode + string(id), Revision: row.Revision, Node: row})
+		}
+		if l := &s.m.Lease; l.Revision > 0 {
+			out.Rows = append(out.Rows, state.SeenRow{Key: state.KeyFormationLease, Revision: l.Revision, Lease: &l.Row})
+		}
 	}
 	return out, true
 }
@@ -178,14 +274,15 @@
 	lease := s.t.Leases.Get(state.FormationLeaseName)
 	holds := lease != nil && now < lease.HeldUntil
 	for id, row := range s.m.Nodes.All() {
-		if at, heard := s.m.Heard[id]; id == s.t.Self.ID || heard && now-at < heardFor || !holds {
-			s.firstHeard[id] = now
+		if at, known := s.alive[id]; !known || id == s.t.Self.ID || !holds && now-at > aliveFor {
+			// A new holder gives each node the full time.
+			s.alive[id] = now
 			continue
 		}
-		if now-s.firstHeard[id] < forgetAfter {
+		if !holds || now-s.alive[id] < forgetAfter {
 			continue
 		}
-		s.firstHeard[id] = now
+		s.alive[id] = now
 		key := state.PrefixNode + string(id)
 		s.t.Store(out, name, state.StoreRequest{Transact: &state.Transaction{
 			Conditions: []state.Condition{{Key: key, Revision: row.Revision}},
--- a/pkg/core/state/managed.go
+++ b/pkg/core/state/managed.go
@@ -36,6 +36,9 @@
 	PeerLoads map[NodeID][]TargetLoad
 	// Changed counts changes of what the dispatch system builds its targets from.
 	Changed uint64
+	// Following is whether this node follows the store's tables itself. Written by
+	// the inventory system.
+	Following bool
 	// Heard dates the last bulletin of each linked peer. Written by the inventory
 	// system.
 	Heard map[NodeID]time.Duration
@@ -310,8 +313,9 @@
 	SentAt time.Duration `cbor:"-"`
 	// Failed is set when the store did not answer.
 	Failed bool `cbor:"-"`
-	// From is the peer that passed the rows on; empty for the store.
-	From NodeID `cbor:"-"`
+	// Since is the revision of the table before these rows, where a peer passes
+	// them on. Who holds an older one lacks rows in between.
+	Since uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // SeenRow is a decoded row of a table.
@@ -330,9 +334,10 @@
 
 // Bulletin is what nodes tell each other every BulletinPeriod.
 type Bulletin struct {
-	// Revisions are those of the tables that the sender holds.
-	Operator  uint64 `cbor:"1,keyasint,omitempty"`
-	Instances uint64 `cbor:"2,keyasint,omitempty"`
+	// Revisions are those of the tables that the sender holds, by kind.
+	Revisions []uint64 `cbor:"1,keyasint,omitempty"`
+	// Alive lists the nodes that the sender hears, at times.
+	Alive []NodeID `cbor:"2,keyasint,omitempty"`
 	// EvidenceAge is the age of the sender's last answer of the store; negative
 	// when it has none.
 	EvidenceAge time.Duration `cbor:"3,keyasint"`
@@ -341,6 +346,9 @@
 	Stalled []HostID      `cbor:"5,keyasint,omitempty"`
 	Demand  []ModelDemand `cbor:"6,keyasint,omitempty"`
 	Traffic bool          `cbor:"7,keyasint,omitempty"`
+	// Total is set when the counts are those of all nodes, the receiver included,
+	// and not of the sender and its leaves.
+	Total bool `cbor:"8,keyasint,omitempty"`
 }
 
 // ModelDemand is the work asked for of a model in engine seconds per second.
@@ -467,6 +475,14 @@
 	Deadline time.Duration
 }
 
+// FollowTables says whether this node follows the store's tables itself.
+type FollowTables struct {
+	On bool
+	// Urgent is set for the node that forms groups, which acts on each change.
+	Urgent bool
+}
+
+func (FollowTables) output()    {}
 func (RowsSeen) input()         {}
 func (HostOrderResult) input()  {}
 func (HostReport) input()       {}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -48,6 +48,8 @@
 	log      *slog.Logger
 	observer Observer
 	carrier  Carrier
+	// following is called when the node starts or stops following tables.
+	following func(state.FollowTables)
 
 	start        time.Time
 	inputs       chan state.Input
@@ -103,6 +105,10 @@
 // must be called before Run.
 func (d *Daemon) SetCarrier(c Carrier) { d.carrier = c }
 
+// OnFollow sets what is told whether this node follows the store's tables. It
+// must be called before Run and must not block.
+func (d *Daemon) OnFollow(f func(state.FollowTables)) { d.following = f }
+
 // Feed gives an input to the core. It blocks while the loop is busy and does
 // nothing once the loop has ended.
 func (d *Daemon) Feed(in state.Input) {
@@ -250,6 +256,10 @@
 		if d.links != nil {
 			d.links.Send(out.To, out.Message)
 		}
+	case state.FollowTables:
+		if d.following != nil {
+			d.following(out)
+		}
 	case state.SetReadiness:
 		d.ready.Store(out.Ready)
 	case state.StopAccepting:
--- a/pkg/node/managed.go
+++ b/pkg/node/managed.go
@@ -54,6 +54,11 @@
 	for _, table := range []state.TableKind{state.OperatorTable, state.InstanceTable, state.NodeTable} {
 		n.watchers = append(n.watchers, watch.New(table, rows, n.daemon, log))
 	}
+	n.daemon.OnFollow(func(f state.FollowTables) {
+		for _, w := range n.watchers {
+			w.Follow(f)
+		}
+	})
 	n.server = gateway.NewServer(gateway.NewRouted(n.daemon, targets, platform.Form{}, log))
 	return n, nil
 }
--- a/pkg/peer/frame.go
+++ b/pkg/peer/frame.go
@@ -12,11 +12,12 @@
 const (
 	// protocolVersion changes with each incompatible change of a frame.
 	protocolVersion = 1
-	// maxFrameBytes bounds a frame in both directions.
-	maxFrameBytes = 256 << 10
+	// maxFrameBytes bounds a frame in both directions. A configuration of 1,500
+	// routes takes about 400 KB.
+	maxFrameBytes = 2 << 20
 	// maxFrameItems and maxFrameDepth bound what a frame may make the decoder
 	// allocate, which its size alone does not.
-	maxFrameItems = 64 << 10
+	maxFrameItems = 256 << 10
 	maxFrameDepth = 16
 )
 
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
@@ -13,10 +14,10 @@
 )
 
 const (
-	// wait is how long the store holds a call without a change. A call without an
+	// feedWait is how long the store holds a call without a change. A call without an
 	// answer is known to be lost only after it, so it is below the time in which
 	// a change must be in force.
-	wait = time.Second
+	feedWait = time.Second
 	// answerTimeout is how much longer than the wait an answer may take.
 	answerTimeout = 600 * time.Millisecond
 	// wholeTimeout bounds a read of a whole table.
@@ -30,10 +31,13 @@
 // the table are gathered for one call. The table of instances changes in series.
 var gather = map[state.TableKind]time.Duration{
 	state.OperatorTable: 20 * time.Millisecond,
-	state.InstanceTable: 30 * time.Millisecond,
-	state.NodeTable:     50 * time.Millisecond,
+	state.InstanceTable: 150 * time.Millisecond,
+	state.NodeTable:     150 * time.Millisecond,
 }
 
+// urgentGather is that pause for the node that forms groups.
+const urgentGather = 30 * time.Millisecond
+
 // Source reads the tables of the store.
 type Source interface {
 	Whole(ctx context.Context, table state.TableKind) (state.RowsSeen, error)
@@ -61,6 +65,42 @@
 	known    bool
 	revision uint64
 	failures int
+
+	mu sync.Mutex
+	// idle is closed when the watcher is to follow the table again; nil while it
+	// does.
+	idle chan struct{}
+	// urgent is set while the node acts on each change.
+	urgent bool
+}
+
+// Follow switches the watcher on or off. A call that has begun ends first.
+func (w *Watcher) Follow(f state.FollowTables) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.urgent = f.Urgent
+	switch {
+	case f.On && w.idle != nil:
+		close(w.idle)
+		w.idle = nil
+	case !f.On && w.idle == nil:
+		w.idle = make(chan struct{})
+	}
+}
+
+func (w *Watcher) wait(ctx context.Context) {
+	w.mu.Lock()
+	idle := w.idle
+	w.mu.Unlock()
+	if idle == nil {
+		return
+	}
+	select {
+	case <-idle:
+		// The rows passed on by peers since are not known here.
+		w.known = false
+	case <-ctx.Done():
+	}
 }
 
 // New returns a watcher of a table.
@@ -71,6 +111,7 @@
 // Run follows the table until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		w.wait(ctx)
 		if !w.once(ctx) {
 			w.pause(ctx, w.backoff())
 		}
@@ -101,20 +142,29 @@
 	seen.SentAt = sentAt
 	w.sink.Feed(seen)
 	if len(seen.Rows) > 0 && !seen.Whole {
-		w.pause(ctx, gather[w.table])
+		w.pause(ctx, w.gatherTime())
 	}
 	return true
 }
 
+func (w *Watcher) gatherTime() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.urgent {
+		return min(gather[w.table], urgentGather)
+	}
+	return gather[w.table]
+}
+
 func (w *Watcher) call(ctx context.Context) (state.RowsSeen, error) {
 	if !w.known {
 		ctx, cancel := context.WithTimeout(ctx, wholeTimeout)
 		defer cancel()
 		return w.source.Whole(ctx, w.table)
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, feedWait+answerTimeout)
 	defer cancel()
-	return w.source.Changes(ctx, w.table, w.revision, wait)
+	return w.source.Changes(ctx, w.table, w.revision, feedWait)
 }
 
 // backoff grows with each failure and is drawn at random, so that nodes do not
