Let the holder of the formation lease follow the list of instances for all

Cause: the list changes about 40 times a second, and three followers asked for each change. The holder acts on it anyway and passes rows on; others follow when its list is older than 1.8 s.

--- a/pkg/core/inventory/hub.go
+++ b/pkg/core/inventory/hub.go
@@ -88,7 +88,9 @@
 func (s *System) follow(now time.Duration, out *state.Outbox) {
 	lease := s.t.Leases.Get(state.FormationLeaseName)
 	urgent := lease != nil && now < lease.HeldUntil
-	want := state.FollowTables{On: urgent || !s.isFollowedFor(now), Urgent: urgent}
+	want := state.FollowTables{
+		On: urgent || !s.isFollowedFor(now), Instances: urgent || !s.holderFollows(now), Urgent: urgent,
+	}
 	if s.started && want == s.following {
 		return
 	}
@@ -111,6 +113,20 @@
 	return false
 }
 
+// holderFollows reports whether the holder of the formation lease passes on the
+// list of instances, which changes all the time.
+func (s *System) holderFollows(now time.Duration) bool {
+	holder := s.m.Lease.Row.Holder
+	b := s.bulletins[holder]
+	if s.hubs != nil && !s.hubs[s.t.Self.ID] {
+		// A leaf gets the rows from its hub.
+		b = s.bulletins[s.primaryHub(now)]
+		holder = s.primaryHub(now)
+	}
+	at, heard := s.m.Heard[holder]
+	return s.isUpToDate() && b != nil && heard && now-at < heardFor && b.InstancesAge >= 0 && b.InstancesAge < evidenceFor
+}
+
 // isUpToDate reports whether this node holds all tables, so that rows passed on
 // follow those that it has.
 func (s *System) isUpToDate() bool {
@@ -123,17 +139,20 @@
 }
 
 // passOn gives rows to the peers that do not follow the store: those of the own
-// data centre, and the leaves of a hub. A hub that got them from another hub
-// gives them to its leaves only.
+// data centre, and the leaves of a hub. The holder of the formation lease gives
+// the list of instances to all. A hub that got rows from another hub gives them
+// to its leaves only.
 func (s *System) passOn(rows state.RowsSeen, since uint64, from state.NodeID, out *state.Outbox) {
 	if from != "" && !s.hubs[s.t.Self.ID] {
 		return
 	}
 	rows.Since = since
 	rows.Revision = s.m.Tables[rows.Table].Revision
+	lease := s.t.Leases.Get(state.FormationLeaseName)
+	everywhere := from == "" && rows.Table == state.InstanceTable && lease != nil && lease.HeldUntil > 0
 	for _, id := range sortedKeys(s.linked) {
 		row := s.m.Nodes.Get(id)
-		if id == from || row == nil || row.Entry.DataCentre != s.t.Self.DataCentre || from != "" && s.hubs[id] {
+		if id == from || row == nil || from != "" && s.hubs[id] || !everywhere && row.Entry.DataCentre != s.t.Self.DataCentre {
 			continue
 		}
 		out.Add(state.SendPeer{To: id, Message: state.Message{Rows: &rows}})
--- a/pkg/core/inventory/peers.go
+++ b/pkg/core/inventory/peers.go
@@ -165,7 +165,7 @@
 }
 
 func (s *System) newBulletin(now time.Duration) *state.Bulletin {
-	b := &state.Bulletin{EvidenceAge: -1, Traffic: s.m.TrafficSeen}
+	b := &state.Bulletin{EvidenceAge: -1, InstancesAge: s.instancesAge(now), Traffic: s.m.TrafficSeen}
 	for i := range s.m.Tables {
 		b.Revisions = append(b.Revisions, s.m.Tables[i].Revision)
 	}
@@ -183,6 +183,21 @@
 	return b
 }
 
+// instancesAge returns the age of the list of instances: that of the own call of
+// the store, or of the peer from which the rows come.
+func (s *System) instancesAge(now time.Duration) time.Duration {
+	age := time.Duration(-1)
+	if seen := s.m.Tables[state.InstanceTable].SeenAt; seen >= 0 {
+		age = now - seen
+	}
+	if b := s.bulletins[s.m.Lease.Row.Holder]; b != nil && b.InstancesAge >= 0 {
+		if other := b.InstancesAge + now - s.m.Heard[s.m.Lease.Row.Holder]; age < 0 || other < age {
+			age = other
+		}
+	}
+	return age
+}
+
 // forgetWords drops what peers said too long ago.
 func (s *System) forgetWords(now time.Duration) {
 	for id, at := range s.m.PeerStalled {
--- a/pkg/core/state/managed.go
+++ b/pkg/core/state/managed.go
@@ -346,6 +346,9 @@
 	Stalled []HostID      `cbor:"5,keyasint,omitempty"`
 	Demand  []ModelDemand `cbor:"6,keyasint,omitempty"`
 	Traffic bool          `cbor:"7,keyasint,omitempty"`
+	// InstancesAge is the age of the sender's list of instances; negative when it
+	// has none.
+	InstancesAge time.Duration `cbor:"9,keyasint"`
 	// Total is set when the counts are those of all nodes, the receiver included,
 	// and not of the sender and its leaves.
 	Total bool `cbor:"8,keyasint,omitempty"`
@@ -477,7 +480,9 @@
 
 // FollowTables says whether this node follows the store's tables itself.
 type FollowTables struct {
-	On bool
+	// On is for the configuration and the nodes, Instances for the instances.
+	On        bool
+	Instances bool
 	// Urgent is set for the node that forms groups, which acts on each change.
 	Urgent bool
 }
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -79,11 +79,15 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.urgent = f.Urgent
+	on := f.On
+	if w.table == state.InstanceTable {
+		on = f.Instances
+	}
 	switch {
-	case f.On && w.idle != nil:
+	case on && w.idle != nil:
 		close(w.idle)
 		w.idle = nil
-	case !f.On && w.idle == nil:
+	case !on && w.idle == nil:
 		w.idle = make(chan struct{})
 	}
 }
