--- /dev/null
+++ b/pkg/core/dispatch/dispatch_test.go
@@ -0,0 +1,296 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/apricotgrade/apricotgrade/pkg/apierror"
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+)
+
+// TestLongestPrefix guards against a route that takes the requests of a longer
+// prefix, which may lead to another service.
+func TestLongestPrefix(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t, 1)
+	id := r.request("/a/b/c", 0)
+	g.Expect(string(r.started(id).Target)).To(gomega.HavePrefix("d"))
+}
+
+// TestUnknownRouteAndKey guards against requests that run without a route or
+// under no account.
+func TestUnknownRouteAndKey(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t, 1)
+	g.Expect(r.reply(r.request("/none/", 0)).Refusal.Kind).To(gomega.Equal(apierror.KindNotFound))
+	r.tables.Managed.Catalogue.Accounts[0].KeyHashes[0][0]++
+	r.tables.Managed.Catalogue.Version++
+	r.tables.Managed.Changed++
+	g.Expect(r.reply(r.request("/a/", 0)).Refusal.Kind).To(gomega.Equal(apierror.KindAuth))
+}
+
+// TestNoConfigurationIsNoRefusalForGood guards against a 404 of a node that
+// knows no configuration yet.
+func TestNoConfigurationIsNoRefusalForGood(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t, 1)
+	r.tables.Managed.Catalogue = nil
+	refusal := r.reply(r.request("/none/", 0)).Refusal
+	g.Expect(refusal.Kind).To(gomega.Equal(apierror.KindUnavailable))
+	g.Expect(refusal.Outcome).To(gomega.Equal(apierror.NotRun))
+}
+
+// TestPlacesByPredictedFirstEvent replays long prompts beside short ones: a
+// group that reads a long prompt gets no request that another serves sooner,
+// though both have one request.
+func TestPlacesByPredictedFirstEvent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t, 2)
+	long := r.started(r.request("/a/", 6000)).Target
+	for range 3 {
+		g.Expect(r.started(r.request("/a/", 100)).Target).NotTo(gomega.Equal(long))
+	}
+}
+
+// TestFullGroupsGetNoMore guards against more requests than a group has slots:
+// the surplus waits here, where another group can take it.
+func TestFullGroupsGetNoMore(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t, 1)
+	for range 26 {
+		r.event(r.request("/a/", 10), state.AttemptFirstByte)
+	}
+	waiting := r.request("/a/", 10)
+	g.Expect(r.started(waiting)).To(gomega.BeNil())
+	r.end(r.starts[0].Request, state.FailureNone, apierror.Done)
+	g.Expect(r.started(waiting)).NotTo(gomega.BeNil())
+}
+
+// TestPeersCount guards against six nodes that each fill a group on their own.
+func TestPeersCount(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t, 1)
+	r.tables.Managed.PeerLoads["n2"] = []state.TargetLoad{{Target: "g0", Running: 26}}
+	r.step(state.PeerMessage{From: "n2", Message: state.Message{Bulletin: &state.Bulletin{}}})
+	g.Expect(r.started(r.request("/a/", 10))).To(gomega.BeNil())
+}
+
+// TestBurstIsRefusedAtOnce replays a burst on full groups: what would miss its
+// objective is refused as not run, at once, with a time to come back that is
+// within a third of what the caller has left; what waits is bounded.
+func TestBurstIsRefusedAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t, 1)
+	for range 26 {
+		r.event(r.request("/a/", 10), state.AttemptFirstByte)
+	}
+	for i := range 10 {
+		r.after(100 * time.Millisecond)
+		r.end(r.starts[i].Request, state.FailureNone, apierror.Done)
+		r.event(r.request("/a/", 10), state.AttemptFirstByte)
+	}
+	var refused []*state.Reply
+	for range 30 {
+		if reply := r.reply(r.request("/a/", 10)); reply != nil {
+			refused = append(refused, reply)
+		}
+	}
+	g.Expect(len(refused)).To(gomega.BeNumerically(">", 20))
+	for _, reply := range refused {
+		g.Expect(reply.Refusal.Outcome).To(gomega.Equal(apierror.NotRun))
+		g.Expect(reply.Refusal.RetryAfter).To(gomega.And(gomega.BeNumerically(">", 0), gomega.BeNumerically("<=", 8*time.Second/3)))
+	}
+}
+
+// TestNothingServes replays the loss of all groups: a request is refused at once
+// and not held until its deadline.
+func TestNothingServes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t, 0)
+	refusal := r.reply(r.request("/a/", 10)).Refusal
+	g.Expect(refusal.Code).To(gomega.Equal("no_target"))
+	g.Expect(refusal.Outcome).To(gomega.Equal(apierror.NotRun))
+}
+
+// TestWaitingOrder replays a queue at its worst: what can still be on time comes
+// before what cannot, urgent before less urgent, and then the nearest objective.
+func TestWaitingOrder(t *testing.T) {
+	g := gomega.NewWithT(t)
+	waiting := func(objective time.Duration, priority int) *job {
+		return &job{objective: objective, req: &state.Request{Route: &state.Route{Priority: priority}}}
+	}
+	late, soon, later, urgent := waiting(1, 0), waiting(20, 1), waiting(30, 1), waiting(40, 0)
+	order := ranked(10, []*job{late, later, soon, urgent})
+	g.Expect(order).To(gomega.Equal([]*job{urgent, soon, later, late}))
+}
+
+// TestSilentGroupIsLeft replays a member that died: the leader sends nothing any
+// more. Streams that have begun go on at another group, no new one comes, and
+// the target is reported.
+func TestSilentGroupIsLeft(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t, 2)
+	id := r.request("/a/", 10)
+	first := r.started(id).Target
+	r.event(id, state.AttemptFirstByte)
+	r.event(id, state.AttemptStalled)
+	g.Expect(r.tables.Managed.Stalled).To(gomega.HaveKey(state.HostID(first)))
+	g.Expect(r.started(r.request("/a/", 10)).Target).NotTo(gomega.Equal(first))
+	r.after(moveAfter + 20*time.Millisecond)
+	g.Expect(r.started(id).Attempt).To(gomega.Equal(2))
+	g.Expect(r.started(id).Target).NotTo(gomega.Equal(first))
+	g.Expect(r.cancels).To(gomega.ContainElement(state.CancelAttempt{Request: id, Attempt: 1}))
+}
+
+// TestOneSilentConnectionIsNoSilentGroup guards against leaving a group whose
+// other streams flow.
+func TestOneSilentConnectionIsNoSilentGroup(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t, 1)
+	a, b := r.request("/a/", 10), r.request("/a/", 10)
+	r.event(a, state.AttemptFirstByte)
+	r.event(b, state.AttemptFirstByte)
+	r.event(a, state.AttemptStalled)
+	g.Expect(r.tables.Managed.Stalled).To(gomega.BeEmpty())
+	g.Expect(r.started(r.request("/a/", 10))).NotTo(gomega.BeNil())
+}
+
+// TestOnceIsNeverSentAgain guards against a request that may not be repeated and
+// is sent again after it may have run, or is refused as not run then.
+func TestOnceIsNeverSentAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, failure := range []state.AttemptFailure{state.FailureBroken, state.FailureSilent} {
+		r := newRig(t, 1)
+		id := r.request("/a/b/", 0)
+		r.end(id, failure, apierror.Unknown)
+		g.Expect(r.started(id).Attempt).To(gomega.Equal(1))
+		g.Expect(r.reply(id).Refusal.Outcome).To(gomega.Equal(apierror.Unknown))
+	}
+}
+
+// TestRefusalAfterNotRunIsTrue guards against a promise that a request has not
+// run while its attempt is under way.
+func TestRefusalAfterNotRunIsTrue(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t, 1)
+	refused := r.request("/a/b/", 0)
+	r.end(refused, state.FailureRefused, apierror.NotRun)
+	g.Expect(r.reply(refused).Refusal.Outcome).To(gomega.Equal(apierror.NotRun))
+	running := r.request("/a/b/", 0)
+	r.after(801 * time.Millisecond)
+	g.Expect(r.reply(running).Refusal.Outcome).To(gomega.Equal(apierror.Unknown))
+}
+
+// TestLookupGoesElsewhere replays a failing replica: an idempotent request is
+// sent once more, to another replica, and no further.
+func TestLookupGoesElsewhere(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t, 1)
+	id := r.request("/l/", 0)
+	first := r.started(id).Target
+	r.end(id, state.FailureBroken, apierror.Unknown)
+	g.Expect(r.started(id).Attempt).To(gomega.Equal(2))
+	g.Expect(r.started(id).Target).NotTo(gomega.Equal(first))
+	r.end(id, state.FailureBroken, apierror.Unknown)
+	g.Expect(r.reply(id)).NotTo(gomega.BeNil())
+}
+
+// TestRepeatBudget replays answers that are all lost: repeats stay within the
+// share of the requests and this node's part of the base.
+func TestRepeatBudget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t, 1)
+	for range 6 {
+		r.tables.Managed.Nodes.Put(state.NodeID(string(rune('a'+r.tables.Managed.Nodes.Len()))), &state.RegisteredNode{})
+	}
+	repeats := 0
+	for range 200 {
+		id := r.request("/l/", 0)
+		r.end(id, state.FailureBroken, apierror.Unknown)
+		if r.reply(id) == nil {
+			repeats++
+			r.end(id, state.FailureNone, apierror.Done)
+		}
+		for _, target := range r.system.targets {
+			target.avoidUntil = 0
+		}
+	}
+	// The platform's bound is a fifth of the requests and 130 over all nodes.
+	g.Expect(repeats).To(gomega.And(gomega.BeNumerically("<=", 200/5+130/6), gomega.BeNumerically(">=", 40)))
+}
+
+// TestColdTarget guards against a cold target that gets more than its rate from
+// all nodes together: each node has an equal part.
+func TestColdTarget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t, 0)
+	for range 6 {
+		r.tables.Managed.Nodes.Put(state.NodeID(string(rune('a'+r.tables.Managed.Nodes.Len()))), &state.RegisteredNode{})
+	}
+	row := r.instance("g0", pool, state.Membership{Group: "G", Epoch: 1, Phase: state.MemberOpen})
+	row.ColdFor = 10 * time.Second
+	for range 100 {
+		r.request("/a/", 10)
+		r.after(10 * time.Millisecond)
+	}
+	// 36 requests a second over six nodes, and a burst of a quarter second.
+	g.Expect(len(r.starts)).To(gomega.And(gomega.BeNumerically("<=", 6+2), gomega.BeNumerically(">=", 5)))
+}
+
+// TestLeavingAndEvacuatedTargets guards against new work for what leaves, and
+// for a data centre that is taken out.
+func TestLeavingAndEvacuatedTargets(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t, 1)
+	r.instance("g0", pool, state.Membership{Group: "G0", Epoch: 1, Phase: state.MemberOpen}).Draining = true
+	g.Expect(r.started(r.request("/a/", 10))).To(gomega.BeNil())
+	r = newRig(t, 1)
+	r.tables.Managed.Evacuated["a"] = true
+	r.tables.Managed.Changed++
+	g.Expect(r.started(r.request("/a/", 10))).To(gomega.BeNil())
+}
+
+// TestClosingGroupGetsNothing guards against work for a group whose leader is not
+// open.
+func TestClosingGroupGetsNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, phase := range []state.MemberPhase{state.MemberJoining, state.MemberReady, state.MemberClosing, state.MemberBroken} {
+		r := newRig(t, 0)
+		r.instance("g0", pool, state.Membership{Group: "G", Epoch: 1, Phase: phase})
+		g.Expect(r.started(r.request("/a/", 10))).To(gomega.BeNil())
+	}
+}
+
+// TestCallerThatLeaves guards against work that goes on for nobody.
+func TestCallerThatLeaves(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t, 1)
+	id := r.request("/a/", 10)
+	r.step(state.CallerGone{Request: id})
+	g.Expect(r.cancels).To(gomega.ContainElement(state.CancelAttempt{Request: id, Attempt: 1}))
+	g.Expect(r.system.targets["g0"].load).To(gomega.Equal(state.TargetLoad{Target: "g0"}))
+}
+
+// TestCutOffNodeRefuses guards against requests that a node without evidence of
+// the configuration holds: the caller's repeat reaches another node.
+func TestCutOffNodeRefuses(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t, 1)
+	r.tables.Config.Fresh = false
+	refusal := r.reply(r.request("/a/", 10)).Refusal
+	g.Expect(refusal.Code).To(gomega.Equal("isolated"))
+	g.Expect(refusal.Outcome).To(gomega.Equal(apierror.NotRun))
+}
+
+// TestShutdownTakesNothingLate guards against requests that a node that shuts
+// down could not finish in time.
+func TestShutdownTakesNothingLate(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t, 1)
+	r.tables.Draining = true
+	g.Expect(r.started(r.request("/a/", 10))).NotTo(gomega.BeNil())
+	r.after(2 * time.Second)
+	g.Expect(r.reply(r.request("/a/", 10)).Refusal.Code).To(gomega.Equal("shutting_down"))
+}
