--- a/pkg/core/dispatch/budget.go
+++ b/pkg/core/dispatch/budget.go
@@ -1,6 +1,11 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/rendezvous"
+)
 
 const (
 	// budgetWindow is the time over which requests and repeats are counted. The
@@ -58,6 +63,21 @@
 	at     time.Duration
 }
 
+// coldSenders returns how many nodes may send to a cold target, so that the
+// first request of each, sent at one moment, is half of what the target bears in
+// a second.
+func coldSenders(rate float64, nodes int) int { return max(min(nodes, int(rate/2)), 1) }
+
+// mayUseCold reports whether this node may send a request to a cold target now,
+// and counts it. All nodes choose the same senders, without contact.
+func (s *System) mayUseCold(now time.Duration, t *target) bool {
+	n := coldSenders(t.coldRate, s.m.Nodes.Len())
+	if s.m.Nodes.Len() > n && !slices.Contains(rendezvous.Rank(string(t.id), s.m.Nodes.Keys()).First(n), s.t.Self.ID) {
+		return false
+	}
+	return t.cold.take(now, t.coldRate/float64(n))
+}
+
 // take reports whether a request may be sent now, and counts it.
 func (b *coldBudget) take(now time.Duration, rate float64) bool {
 	burst := max(rate/4, 1)
--- a/pkg/core/dispatch/dispatch_test.go
+++ b/pkg/core/dispatch/dispatch_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -294,3 +295,29 @@
 	r.after(2 * time.Second)
 	g.Expect(r.reply(r.request("/a/", 10)).Refusal.Code).To(gomega.Equal("shutting_down"))
 }
+
+// TestColdTargetOfManyNodes guards against one request of each of many nodes at
+// the same moment, which a cold target does not bear.
+func TestColdTargetOfManyNodes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	senders, sent := 0, 0
+	for i := range 73 {
+		r := newRig(t, 0)
+		r.tables.Self.ID = state.NodeID(fmt.Sprintf("n%02d", i))
+		for n := range 73 {
+			r.tables.Managed.Nodes.Put(state.NodeID(fmt.Sprintf("n%02d", n)), &state.RegisteredNode{})
+		}
+		r.tables.Managed.Catalogue.Services[0].ColdRate = 17
+		r.instance("g0", pool, state.Membership{Group: "G", Epoch: 1, Phase: state.MemberOpen}).ColdFor = 10 * time.Second
+		for range 20 {
+			r.request("/a/", 10)
+			r.after(50 * time.Millisecond)
+		}
+		if sent += len(r.starts); len(r.starts) > 0 {
+			senders++
+		}
+	}
+	// The platform's bound is 17 x 1.5 + 5 in a second.
+	g.Expect(sent).To(gomega.BeNumerically("<=", 30))
+	g.Expect(senders).To(gomega.Equal(8))
+}
--- a/pkg/core/dispatch/place.go
+++ b/pkg/core/dispatch/place.go
@@ -69,7 +69,7 @@
 	for len(fit) > 0 {
 		i := s.t.Rand.IntN(len(fit))
 		t := fit[i].target
-		if now >= t.coldUntil || t.cold.take(now, t.coldRate/float64(max(s.m.Nodes.Len(), 1))) {
+		if now >= t.coldUntil || s.mayUseCold(now, t) {
 			return t
 		}
 		fit = slices.Delete(fit, i, i+1)
--- a/pkg/core/formation/formation.go
+++ b/pkg/core/formation/formation.go
@@ -57,6 +57,9 @@
 	trafficAt time.Duration
 	smooth    map[string]float64
 	smoothAt  time.Duration
+	// hostCount is the number of hosts since hostCountAt.
+	hostCount   int
+	hostCountAt time.Duration
 }
 
 // New returns the formation system.
--- a/pkg/core/formation/group.go
+++ b/pkg/core/formation/group.go
@@ -15,8 +15,9 @@
 	// reaches may still be in that state. The platform gives 5 s.
 	standTime = 5500 * time.Millisecond
 	// stuckAfter is how long a group may be silent while all its members answer
-	// questions before it is formed anew: the leader does not reach a member.
-	stuckAfter = 900 * time.Millisecond
+	// questions before it is formed anew: the leader does not reach a member. A
+	// node that is starved of processor time sees its streams silent for a while.
+	stuckAfter = 1400 * time.Millisecond
 	// unknownMember is how long a member of an open group may be missing from the
 	// list without this node ever having seen it.
 	unknownMember = time.Second
--- a/pkg/core/formation/plan.go
+++ b/pkg/core/formation/plan.go
@@ -163,6 +163,9 @@
 	models := service.Engine.Models
 	free := s.freeHosts(now, service.Name)
 	live, hosts := s.count(now, service.Name)
+	if !s.isSettled(now, hosts) {
+		return
+	}
 	needs := s.needs(now, models)
 	wanted := wantedGroups(models, needs, hosts)
 	for {
@@ -180,6 +183,22 @@
 	}
 }
 
+// settleTime is for how long the number of hosts must stay the same before the
+// first groups are formed. Hosts register within their first heartbeat of 1.2 s,
+// and groups formed of the first ones leave no room for large groups.
+const settleTime = 800 * time.Millisecond
+
+// isSettled reports whether all hosts of the first start are there.
+func (s *System) isSettled(now time.Duration, hosts int) bool {
+	if s.m.TrafficSeen {
+		return true
+	}
+	if hosts != s.hostCount {
+		s.hostCount, s.hostCountAt = hosts, now
+	}
+	return now-s.hostCountAt >= settleTime
+}
+
 // idleLog is the period of lines on hosts that serve nobody.
 const idleLog = 2 * time.Second
 
--- a/pkg/core/inventory/hub.go
+++ b/pkg/core/inventory/hub.go
@@ -1,10 +1,12 @@
 package inventory
 
 import (
+	"log/slog"
 	"slices"
 	"time"
 
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	"github.com/apricotgrade/apricotgrade/pkg/event"
 )
 
 const (
@@ -95,6 +97,7 @@
 		return
 	}
 	s.started, s.following, s.m.Following = true, want, want.On
+	out.Log(event.StoreFollowed, slog.Bool("configuration", want.On), slog.Bool("instances", want.Instances))
 	out.Add(want)
 }
 
--- a/pkg/core/inventory/inventory.go
+++ b/pkg/core/inventory/inventory.go
@@ -34,11 +34,12 @@
 	// below the time for which cut-off nodes may go on.
 	heardFor = time.Second
 	// evidenceFor is the age of a peer's last answer of the store up to which this
-	// node relies on it. A call lasts for 1 s, and a lost one for 1.6 s.
-	evidenceFor = 1800 * time.Millisecond
+	// node relies on it. The feed answers after 1 s at the latest, so that its last
+	// answer was sent for up to 2 s ago.
+	evidenceFor = 2400 * time.Millisecond
 	// isolatedAfter is the age of the last answer of the store after which a node
 	// that hears no peer takes no new work.
-	isolatedAfter = 2500 * time.Millisecond
+	isolatedAfter = 3 * time.Second
 	// forgetAfter is how long a node is not heard before the holder of the
 	// formation lease drops its registration. A restart takes less.
 	forgetAfter = 10 * time.Second
@@ -145,7 +146,8 @@
 		s.applyRow(now, in.Table, row, out)
 	}
 	if in.Whole {
-		revision = max(revision, in.Revision)
+		// The revision stays that of the newest row: the store's own counts writes
+		// of other tables too, and would let this node look ahead of its peers.
 		s.dropAbsent(now, in.Table, present, out)
 	}
 	view.Revision, view.Known = revision, view.Known || in.Whole
--- a/pkg/core/inventory/inventory_test.go
+++ b/pkg/core/inventory/inventory_test.go
@@ -194,7 +194,7 @@
 	}}})
 	g.Expect(r.m.Instances.Get("i2")).To(gomega.BeNil())
 	r.step(state.PeerMessage{From: "n01", Message: state.Message{Rows: &state.RowsSeen{
-		Table: state.InstanceTable, Since: 100, Revision: 140, Rows: []state.SeenRow{instance("i3", 140)},
+		Table: state.InstanceTable, Since: 50, Revision: 140, Rows: []state.SeenRow{instance("i3", 140)},
 	}}})
 	g.Expect(r.m.Instances.Get("i3")).NotTo(gomega.BeNil())
 }
--- a/pkg/core/inventory/peers.go
+++ b/pkg/core/inventory/peers.go
@@ -169,9 +169,7 @@
 	for i := range s.m.Tables {
 		b.Revisions = append(b.Revisions, s.m.Tables[i].Revision)
 	}
-	if seen := s.m.Tables[state.OperatorTable].SeenAt; seen >= 0 {
-		b.EvidenceAge = now - seen
-	}
+	b.EvidenceAge = s.m.Tables[state.OperatorTable].Age(now)
 	if now >= s.nextAlive {
 		s.nextAlive = now + aliveFor/3
 		for _, id := range sortedKeys(s.m.Heard) {
@@ -186,10 +184,7 @@
 // instancesAge returns the age of the list of instances: that of the own call of
 // the store, or of the peer from which the rows come.
 func (s *System) instancesAge(now time.Duration) time.Duration {
-	age := time.Duration(-1)
-	if seen := s.m.Tables[state.InstanceTable].SeenAt; seen >= 0 {
-		age = now - seen
-	}
+	age := s.m.Tables[state.InstanceTable].Age(now)
 	if b := s.bulletins[s.m.Lease.Row.Holder]; b != nil && b.InstancesAge >= 0 {
 		if other := b.InstancesAge + now - s.m.Heard[s.m.Lease.Row.Holder]; age < 0 || other < age {
 			age = other
--- a/pkg/core/state/managed.go
+++ b/pkg/core/state/managed.go
@@ -95,6 +95,15 @@
 	RelayedAt time.Duration
 }
 
+// Age returns the age of the last answer of the store, or a negative number
+// where there is none or the last call failed.
+func (v *TableView) Age(now time.Duration) time.Duration {
+	if v.SeenAt < 0 || v.FailedAt > v.SeenAt {
+		return -1
+	}
+	return now - v.SeenAt
+}
+
 // Catalogue is the configuration that the platform's operator writes.
 type Catalogue struct {
 	Version  uint64           `cbor:"1,keyasint"`
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -29,6 +29,7 @@
 	RowsRelayed     ID = 1014
 	NodeIsolated    ID = 1015
 	NodeConnected   ID = 1016
+	StoreFollowed   ID = 1017
 )
 
 // Events of peers: 1100 to 1199.
@@ -135,6 +136,7 @@
 	{RowsRelayed, Info, "table taken from a peer"},
 	{NodeIsolated, Warn, "neither the platform's store nor a peer reached, no new work is taken"},
 	{NodeConnected, Info, "platform's store or a peer reached again"},
+	{StoreFollowed, Info, "following of the store's tables changed"},
 	{PeerUp, Info, "link to peer up"},
 	{PeerDown, Warn, "link to peer down"},
 	{PeerBadFrame, Warn, "malformed frame from peer, link closed"},
--- a/pkg/gateway/routedattempt.go
+++ b/pkg/gateway/routedattempt.go
@@ -22,6 +22,9 @@
 	maxHeldBytes = 8 << 20
 	// relayBuffer is the read buffer of a stream. It holds the events of a pass.
 	relayBuffer = 8 << 10
+	// lateTimer is how much later than due a timer may run before this process
+	// counts as held up.
+	lateTimer = 80 * time.Millisecond
 )
 
 // routedAttempt is one running attempt of a routed request.
@@ -34,6 +37,7 @@
 
 	mu      sync.Mutex
 	timer   *time.Timer
+	due     time.Time
 	stalled bool
 	done    bool
 }
@@ -45,6 +49,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.due = time.Now().Add(a.start.FirstAfter)
 	a.timer = time.AfterFunc(a.start.FirstAfter, a.silent)
 }
 
@@ -63,6 +68,13 @@
 		a.mu.Unlock()
 		return
 	}
+	if now := time.Now(); now.Sub(a.due) > lateTimer {
+		// This process was held up, and so may be what has arrived.
+		a.due = now.Add(lateTimer)
+		a.timer.Reset(lateTimer)
+		a.mu.Unlock()
+		return
+	}
 	a.stalled = true
 	a.mu.Unlock()
 	a.report(state.AttemptStalled)
@@ -74,6 +86,7 @@
 	was := a.stalled
 	a.stalled = false
 	if a.timer != nil && a.start.StallAfter > 0 {
+		a.due = time.Now().Add(a.start.StallAfter)
 		a.timer.Reset(a.start.StallAfter)
 	}
 	a.mu.Unlock()
