--- a/pkg/core/formation/convert.go
+++ b/pkg/core/formation/convert.go
@@ -22,6 +22,9 @@
 	// needsAfter is the time of traffic after which the measured demand replaces
 	// the declared shares.
 	needsAfter = 3 * time.Second
+	// settleAfterLease is how long a new holder of the lease leaves groups as they
+	// are: it does not know yet which hosts have stopped answering.
+	settleAfterLease = 2 * time.Second
 	// smoothTime is the time over which measured needs are averaged, so that
 	// groups do not move on each short change of the traffic.
 	smoothTime = 4 * time.Second
@@ -117,7 +120,7 @@
 // convert ends groups whose hosts serve better in groups of another model. One
 // domain changes at a time.
 func (s *System) convert(now time.Duration, service *state.ServiceProfile, free []freeHost, live map[string]int, needs map[string]float64, out *state.Outbox) {
-	if s.trafficAt == 0 || now-s.trafficAt < needsAfter {
+	if s.trafficAt == 0 || now-s.trafficAt < needsAfter || now-s.lease.takenAt < settleAfterLease {
 		return
 	}
 	for _, c := range s.conversions {
--- a/pkg/core/formation/formation_test.go
+++ b/pkg/core/formation/formation_test.go
@@ -169,3 +169,19 @@
 	r.run(time.Second)
 	g.Expect(r.orders[n:]).To(gomega.BeEmpty())
 }
+
+// TestRestartedHostIsNotAskedAllTheTime guards against questions in a loop to a
+// host whose entry is of an earlier life than its answer: 6,000 of them were
+// charged on one day.
+func TestRestartedHostIsNotAskedAllTheTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t)
+	r.startTraffic()
+	leader := r.memberOf(large, 0)
+	r.hosts[leader].row.Born++
+	r.system.hosts[leader].sequenced = false
+	r.lose(r.memberOf(large, 1))
+	n := r.reports
+	r.run(2 * time.Second)
+	g.Expect(r.reports - n).To(gomega.BeNumerically("<", 60))
+}
--- a/pkg/core/formation/host.go
+++ b/pkg/core/formation/host.go
@@ -11,11 +11,20 @@
 const (
 	// probePeriod is the least time between two questions to a host.
 	probePeriod = 300 * time.Millisecond
+	// sequencePeriod is the same where an order waits for the answer. A host whose
+	// answer does not fit its entry, as after a restart, is asked no more often.
+	sequencePeriod = 40 * time.Millisecond
+	// conflictPause is for how long a host gets no order after one that did not fit
+	// its state, such as a join while its last group is closing.
+	conflictPause = 40 * time.Millisecond
 	// deadProbe is the same for a host that did not answer.
 	deadProbe = time.Second
 	// orderTimeout is when an order without a result counts as lost. It is above
 	// the bounds of the daemon.
 	orderTimeout = 4 * time.Second
+	// restartPause is for how long a host gets no order whose answer and entry are
+	// of different lives. Entries follow a restart within a heartbeat of 1.2 s.
+	restartPause = 300 * time.Millisecond
 	// doubtTime is for how long a host whose answer to an order was lost gets no
 	// other order. The order can be carried out later only while the host has
 	// begun no other, so the next order ends the doubt.
@@ -76,7 +85,11 @@
 }
 
 func (s *System) probe(now time.Duration, h *host, out *state.Outbox) {
-	if h.probing && now-h.probedAt < orderTimeout || now-h.probedAt < probePeriod && h.probedAt > 0 && h.sequenced {
+	pause := probePeriod
+	if !h.sequenced {
+		pause = sequencePeriod
+	}
+	if h.probing && now-h.probedAt < orderTimeout || h.probedAt > 0 && now-h.probedAt < pause {
 		return
 	}
 	h.probing, h.probedAt = true, now
@@ -113,7 +126,7 @@
 		h.sequenced, h.waitUntil = false, now+doubtTime
 		s.failed(now, h, o)
 	default:
-		h.sequenced = false
+		h.sequenced, h.waitUntil = false, now+conflictPause
 		s.failed(now, h, o)
 	}
 }
@@ -163,7 +176,11 @@
 		out.Log(event.HostResponsive, slog.String("host", string(h.id)))
 	}
 	h.pace = in.Pace
-	if h.sent == nil && (in.Born == 0 || h.born == 0 || in.Born == h.born) {
+	switch {
+	case in.Born != 0 && h.born != 0 && in.Born != h.born:
+		// Its entry is of an earlier life, or of a later one than the answer.
+		h.waitUntil = now + restartPause
+	case h.sent == nil:
 		h.sequence, h.sequenced = in.Sequence, true
 	}
 	for _, g := range s.groups {
--- a/pkg/core/formation/lease.go
+++ b/pkg/core/formation/lease.go
@@ -37,6 +37,7 @@
 	revision uint64
 	// held is set while this node is the holder as far as it knows.
 	held      bool
+	takenAt   time.Duration
 	heldUntil time.Duration
 	call      uint64
 	callAt    time.Duration
@@ -133,7 +134,7 @@
 		return
 	}
 	if !l.held {
-		l.held = true
+		l.held, l.takenAt = true, at
 		s.forgetOrders()
 		out.Log(event.FormationLeaseTaken, slog.Uint64("fence", uint64(row.Fence)))
 	}
--- a/pkg/core/formation/rig_test.go
+++ b/pkg/core/formation/rig_test.go
@@ -44,6 +44,7 @@
 	lease    []byte
 	revision uint64
 	orders   []state.HostOrder
+	reports  int
 	inputs   []state.Input
 	// listStale stops the feed of the list of instances.
 	listStale bool
@@ -162,6 +163,7 @@
 
 func (r *rig) report(in state.FetchHostReport) {
 	h := r.hosts[in.Host]
+	r.reports++
 	out := state.HostReport{Host: in.Host, SentAt: in.SentAt}
 	switch {
 	case h == nil || h.refusing:
--- a/pkg/core/formation/stage.go
+++ b/pkg/core/formation/stage.go
@@ -45,13 +45,17 @@
 	for _, id := range sortedKeys(s.hosts) {
 		h := s.hosts[id]
 		if h.row == nil || h.row.Service != service.Name || h.last == nil || !h.last.open || h.last.retiring ||
-			h.row.Membership.Group != h.last.id || h.plan != nil || h.row.Draining || h.dead {
+			h.row.Membership.Group != h.last.id || h.plan != nil || h.row.Draining || h.dead || running >= memberLoads(engine) && s.m.TrafficSeen {
 			continue
 		}
 		running += s.stage(now, engine, h, otherModel(h.model, engine.Models, live, needs), running, out)
 	}
 }
 
+// memberLoads is the number of loads at once up to which members of groups stage
+// another model. The rest is for hosts that serve nobody until they hold one.
+func memberLoads(engine *state.EngineProfile) int { return max(engine.LoadsAtOnce/2, 1) }
+
 // otherModel returns the model with the most work for its groups besides one.
 func otherModel(model string, models []state.ModelProfile, live map[string]int, needs map[string]float64) string {
 	other, most := "", -1.0
