--- a/pkg/command/command.go
+++ b/pkg/command/command.go
@@ -17,7 +17,7 @@
 	"github.com/apricotgrade/apricotgrade/pkg/operator"
 )
 
-// Exit codes. docs/operations.md lists them.
+// Exit codes. docs/OPERATIONS.md lists them.
 const (
 	ExitOK = 0
 	// ExitFailure means that the command failed for a reason without a code of
@@ -87,7 +87,7 @@
 func All() []*Command {
 	return []*Command{
 		newDev(), newCheck(), newPlan(), newApply(), newPreset(), newOut(), newIn(), newForget(),
-		newStatus(), newOrder(), newAudit(), newExport(), newBench(), newHash(), newKey(),
+		newStatus(), newOrder(), newExplain(), newAudit(), newExport(), newBench(), newHash(), newKey(),
 	}
 }
 
--- a/pkg/command/command_test.go
+++ b/pkg/command/command_test.go
@@ -162,7 +162,7 @@
 // TestExitCodeDocumentation guards against a page whose exit codes differ from
 // those of the program.
 func TestExitCodeDocumentation(t *testing.T) {
-	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "operations.md"))
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -174,7 +174,7 @@
 	} {
 		row := regexp.MustCompile(fmt.Sprintf(`(?m)^\| %d \| (.*) \|$`, code)).FindSubmatch(page)
 		if row == nil || !strings.Contains(string(row[1]), words) {
-			t.Errorf("docs/operations.md has no row of exit code %d with %q", code, words)
+			t.Errorf("docs/OPERATIONS.md has no row of exit code %d with %q", code, words)
 		}
 	}
 }
--- a/pkg/core/dispatch/attempt.go
+++ b/pkg/core/dispatch/attempt.go
@@ -175,6 +175,9 @@
 		return
 	}
 	out.Add(state.CancelAttempt{Request: j.req.Arrival.ID, Attempt: j.req.Attempt})
+	out.Log(event.AttemptFailed, slog.String("request", j.req.Arrival.Routed.AttemptID), slog.Int("attempt", j.req.Attempt),
+		slog.String("target", string(j.at.id)), slog.String("group", string(j.at.group)), slog.String("failure", failureNames[state.FailureSilent]),
+		slog.Bool("begun", j.begun), slog.Duration("age", now-j.req.ArrivedAt), slog.Bool("all_silent", j.at.suspect))
 	j.req.Finished, j.req.MayHaveRun = j.req.Attempt, true
 	s.release(now, j)
 	s.again(now, j, out)
--- a/pkg/core/dispatch/dispatch.go
+++ b/pkg/core/dispatch/dispatch.go
@@ -237,7 +237,7 @@
 }
 
 // refuse ends a request without an answer.
-func (s *System) refuse(now time.Duration, req *state.Request, refusal *apierror.Error, out *state.Outbox) {
+func (s *System) refuse(now time.Duration, req *state.Request, refusal *apierror.Error, out *state.Outbox, why ...slog.Attr) {
 	// The end cancels the running attempt, so the target is released after it.
 	s.t.EndWithRefusal(now, req, refusal, out)
 	attrs := []slog.Attr{
@@ -245,6 +245,11 @@
 		slog.String("outcome", string(req.Outcome)), slog.Duration("age", now-req.ArrivedAt),
 		slog.Int("attempts", req.Attempt), slog.Duration("retry_after", refusal.RetryAfter),
 	}
+	attrs = append(attrs, why...)
+	if s.m.Catalogue != nil {
+		attrs = append(attrs, slog.Uint64("version", s.m.Catalogue.Version),
+			slog.Duration("evidence_age", now-s.m.Tables[state.OperatorTable].SeenAt))
+	}
 	if req.Route != nil {
 		attrs = append(attrs, slog.String("route", req.Route.Name), slog.String("account", string(req.Account)))
 	}
--- a/pkg/core/dispatch/wait.go
+++ b/pkg/core/dispatch/wait.go
@@ -43,7 +43,7 @@
 	expected := s.expectedWait(now, c, len(c.waiting)+1)
 	bound := time.Duration(float64(j.req.Route.Objective) * waitShare)
 	if expected > bound {
-		s.refuse(now, j.req, overloaded().After(s.spread(j, now, expected)), out)
+		s.refuse(now, j.req, overloaded().After(s.spread(j, now, expected)), out, s.crowd(c, expected)...)
 		return
 	}
 	j.req.Phase = state.RequestQueued
@@ -52,6 +52,19 @@
 		slog.Duration("expected", expected))
 }
 
+// crowd is what a refusal for want of room rests on.
+func (s *System) crowd(c *class, expected time.Duration) []slog.Attr {
+	inFlight, slots := 0, 0
+	for _, t := range c.targets {
+		inFlight += t.inFlight()
+		slots += t.slots
+	}
+	return []slog.Attr{
+		slog.Duration("expected", expected), slog.Int("waiting", len(c.waiting)), slog.Int("targets", len(c.targets)),
+		slog.Int("in_flight", inFlight), slog.Int("slots", slots),
+	}
+}
+
 // mayServe reports whether any target of a class is known that is not silent.
 func (s *System) mayServe(now time.Duration, c *class) bool {
 	for _, t := range c.targets {
@@ -92,7 +105,8 @@
 				continue
 			}
 			if s.isTooLate(now, j) || !s.mayServe(now, c) {
-				s.refuse(now, j.req, overloaded().After(s.spread(j, now, max(s.expectedWait(now, c, len(c.waiting)), minRetry))), out)
+				expected := s.expectedWait(now, c, len(c.waiting))
+				s.refuse(now, j.req, overloaded().After(s.spread(j, now, max(expected, minRetry))), out, s.crowd(c, expected)...)
 			}
 		}
 	}
--- /dev/null
+++ b/pkg/logging/logging_test.go
@@ -0,0 +1,63 @@
+package logging_test
+
+import (
+	"bytes"
+	"io"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/apricotgrade/apricotgrade/pkg/logging"
+)
+
+// TestStalledReaderBlocksNobody guards against a node that stops because nobody
+// reads its log: lines are left out and counted.
+func TestStalledReaderBlocksNobody(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, w := io.Pipe()
+	defer func() { _ = r.Close() }()
+	lines := logging.NewWriter(w)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 10_000 {
+			_, _ = lines.Write([]byte("line\n"))
+		}
+	}()
+	g.Eventually(done, 5*time.Second).Should(gomega.BeClosed())
+	// 2,048 lines wait, and 16 KiB are in the call that hangs.
+	g.Expect(lines.LeftOut()).To(gomega.BeNumerically(">", 4000))
+}
+
+type buffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+// TestLinesOfABurstAreBounded guards against a log that grows with the load: one
+// event has 60 lines a second, another one keeps its own.
+func TestLinesOfABurstAreBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	out := &buffer{}
+	lines := logging.NewWriter(out)
+	log := slog.New(logging.NewHandler(lines, slog.LevelInfo))
+	start := time.Now()
+	for range 5000 {
+		log.Info("request refused", "event", 1300)
+	}
+	log.Info("node ready", "event", 1401)
+	seconds := int(time.Since(start).Seconds()) + 2
+	lines.Close(time.Second)
+	g.Expect(strings.Count(out.b.String(), "request refused")).To(gomega.BeNumerically("<=", 60*seconds))
+	g.Expect(out.b.String()).To(gomega.ContainSubstring("node ready"))
+}
--- a/pkg/metric/docs_test.go
+++ b/pkg/metric/docs_test.go
@@ -11,6 +11,7 @@
 	"github.com/apricotgrade/apricotgrade/pkg/apierror"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 	"github.com/apricotgrade/apricotgrade/pkg/daemon"
+	"github.com/apricotgrade/apricotgrade/pkg/event"
 	"github.com/apricotgrade/apricotgrade/pkg/gateway"
 	"github.com/apricotgrade/apricotgrade/pkg/metric"
 )
@@ -29,24 +30,25 @@
 	refusal := apierror.New(apierror.KindOverloaded, "x", "y", apierror.NotRun)
 	for _, in := range []state.Input{
 		state.RequestArrived{ID: "r"}, state.RequestArrived{ID: "s"}, state.StoreReply{ID: 1},
+		state.HostOrderResult{}, state.HostReport{}, state.RowsSeen{},
 		state.AttemptEvent{Request: "r"}, state.AttemptEvent{Request: "r", Stage: state.AttemptEnded},
 	} {
 		r.Step(time.Second, in, []state.Output{state.StoreRequest{ID: 1}, state.StartAttempt{Request: "r"}}, 0)
 	}
-	r.Step(time.Second, state.Tick{}, []state.Output{state.Reply{Request: "r"}, state.Reply{Request: "s", Refusal: refusal}}, 0)
-	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "operations.md"))
+	r.Step(time.Second, state.Tick{}, []state.Output{state.LogEvent{Event: event.GroupOpened}, state.Reply{Request: "r"}, state.Reply{Request: "s", Refusal: refusal}}, 0)
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	got, want := names(written, text(r)), names(documented, string(page))
 	for _, name := range got {
 		if !slices.Contains(want, name) {
-			t.Errorf("docs/operations.md lacks %s", name)
+			t.Errorf("docs/OPERATIONS.md lacks %s", name)
 		}
 	}
 	for _, name := range want {
 		if !slices.Contains(got, name) {
-			t.Errorf("docs/operations.md names %s, which is not written", name)
+			t.Errorf("docs/OPERATIONS.md names %s, which is not written", name)
 		}
 	}
 }
--- a/pkg/metric/metric.go
+++ b/pkg/metric/metric.go
@@ -20,12 +20,13 @@
 	store    *store
 	peers    *peers
 	core     *core
+	managed  *managed
 }
 
 // New returns a recorder without measurements.
 func New() *Recorder {
 	set := metrics.NewSet()
-	return &Recorder{set: set, requests: newRequests(set), store: newStore(set), peers: newPeers(set), core: newCore(set)}
+	return &Recorder{set: set, requests: newRequests(set), store: newStore(set), peers: newPeers(set), core: newCore(set), managed: newManaged(set)}
 }
 
 // Step records one step of the core: its time on the node's clock, its input,
@@ -34,9 +35,11 @@
 	r.core.step(took)
 	r.requests.input(now, in)
 	r.store.input(now, in)
+	r.managed.input(in)
 	for _, out := range outputs {
 		r.requests.output(now, out)
 		r.store.output(now, out)
+		r.managed.output(out)
 	}
 }
 
--- a/pkg/metric/request.go
+++ b/pkg/metric/request.go
@@ -42,6 +42,10 @@
 // that models that a caller made up create none.
 func labels(a state.RequestArrived) string {
 	model := a.Model
+	if a.Routed != nil {
+		// The account follows from the key, which only the core looks up.
+		model = a.Routed.Model
+	}
 	if a.Kind == state.KindService {
 		model = "service/" + a.Service
 	}
--- a/pkg/operator/handler.go
+++ b/pkg/operator/handler.go
@@ -207,7 +207,7 @@
 		if errors.As(err, &tooLarge) {
 			return change, apierror.New(apierror.KindTooLarge, "body_too_large", "the body is over 4 MiB; send less", apierror.NotRun)
 		}
-		return change, invalid("", "the body is not valid: "+strings.TrimPrefix(err.Error(), "json: ")+"; docs/operations.md lists the fields")
+		return change, invalid("", "the body is not valid: "+strings.TrimPrefix(err.Error(), "json: ")+"; docs/OPERATIONS.md lists the fields")
 	}
 	return change, nil
 }
--- a/pkg/operator/server.go
+++ b/pkg/operator/server.go
@@ -173,11 +173,11 @@
 }
 
 func notFound(w http.ResponseWriter, _ *http.Request) {
-	writeError(w, apierror.New(apierror.KindNotFound, "no_such_path", "the path does not exist; docs/operations.md lists the operator API", apierror.NotRun))
+	writeError(w, apierror.New(apierror.KindNotFound, "no_such_path", "the path does not exist; docs/OPERATIONS.md lists the operator API", apierror.NotRun))
 }
 
 func notAllowed(w http.ResponseWriter, _ *http.Request) {
-	writeError(w, apierror.New(apierror.KindInvalid, "method_not_allowed", "the path exists with another method; docs/operations.md lists the operator API", apierror.NotRun))
+	writeError(w, apierror.New(apierror.KindInvalid, "method_not_allowed", "the path exists with another method; docs/OPERATIONS.md lists the operator API", apierror.NotRun))
 }
 
 func writeText(w http.ResponseWriter, status int, text string) {
--- /dev/null
+++ b/pkg/watch/watch_test.go
@@ -0,0 +1,105 @@
+package watch_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	"github.com/apricotgrade/apricotgrade/pkg/watch"
+)
+
+var errGone = errors.New("gone")
+
+// source answers calls from a list, and then blocks.
+type source struct {
+	mu      sync.Mutex
+	calls   []string
+	answers []error
+}
+
+func (s *source) next(ctx context.Context, call string) (state.RowsSeen, error) {
+	s.mu.Lock()
+	s.calls = append(s.calls, call)
+	if len(s.answers) > 0 {
+		err := s.answers[0]
+		s.answers = s.answers[1:]
+		s.mu.Unlock()
+		return state.RowsSeen{Revision: uint64(len(s.calls))}, err
+	}
+	s.mu.Unlock()
+	<-ctx.Done()
+	return state.RowsSeen{}, ctx.Err()
+}
+
+func (s *source) Whole(ctx context.Context, _ state.TableKind) (state.RowsSeen, error) {
+	return s.next(ctx, "whole")
+}
+
+func (s *source) Changes(ctx context.Context, _ state.TableKind, _ uint64, _ time.Duration) (state.RowsSeen, error) {
+	return s.next(ctx, "changes")
+}
+
+func (s *source) IsHistoryGone(err error) bool { return errors.Is(err, errGone) }
+
+func (s *source) seen() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.calls...)
+}
+
+type sink struct {
+	mu  sync.Mutex
+	fed []state.RowsSeen
+}
+
+func (s *sink) Now() time.Duration { return time.Second }
+
+func (s *sink) Feed(in state.Input) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fed = append(s.fed, in.(state.RowsSeen))
+}
+
+// TestWatcher guards against a table that is followed from a history that is
+// gone, and against a failed call that nobody learns of.
+func TestWatcher(t *testing.T) {
+	g := gomega.NewWithT(t)
+	from := &source{answers: []error{nil, nil, errGone, nil, errors.New("down"), nil}}
+	to := &sink{}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go watch.New(state.OperatorTable, from, to, slog.New(slog.DiscardHandler)).Run(ctx)
+	g.Eventually(from.seen, 3*time.Second).Should(gomega.Equal([]string{
+		"whole", "changes", "changes", "whole", "changes", "changes", "changes",
+	}))
+	to.mu.Lock()
+	defer to.mu.Unlock()
+	failed := 0
+	for _, in := range to.fed {
+		if in.Failed {
+			failed++
+		}
+	}
+	g.Expect(failed).To(gomega.Equal(1))
+}
+
+// TestFollowAgain guards against a watcher that goes on from what it knew before
+// others followed for it.
+func TestFollowAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	from := &source{answers: []error{nil}}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	w := watch.New(state.InstanceTable, from, &sink{}, slog.New(slog.DiscardHandler))
+	w.Follow(state.FollowTables{})
+	go w.Run(ctx)
+	g.Consistently(from.seen, 100*time.Millisecond).Should(gomega.BeEmpty())
+	w.Follow(state.FollowTables{Instances: true})
+	g.Eventually(from.seen).Should(gomega.Equal([]string{"whole", "changes"}))
+}
