--- a/pkg/core/formation/formation_test.go
+++ b/pkg/core/formation/formation_test.go
@@ -105,21 +105,28 @@
 	return g != nil && slices.Contains(g.members, id)
 }
 
-// TestRefusedConnectionOfALeavingLeader guards against taking a leader that has
-// stopped listening for one that has no process: a host that leaves still works
-// then, and its entry may not have shown it during an outage of the store.
-func TestRefusedConnectionOfALeavingLeader(t *testing.T) {
-	g := gomega.NewWithT(t)
-	r := newRig(t)
-	r.startTraffic()
-	r.tables.Managed.Tables[state.InstanceTable].FailedAt = r.now - time.Second
-	leader := r.memberOf(large, 0)
-	r.lose(leader)
-	r.hosts[leader].silent = false
-	r.hosts[leader].refusing = true
-	r.run(2 * time.Second)
-	group := r.system.groups[r.hosts[leader].row.Membership.Group]
-	g.Expect(group.over).To(gomega.BeFalse())
+// TestRefusedConnectionProvesNothing guards against taking a leader that refuses
+// connections for one that has no process. A host that leaves stops listening
+// while it works, and its entry may not show it during an outage of the store; a
+// partition refuses for a host that others reach.
+func TestRefusedConnectionProvesNothing(t *testing.T) {
+	for _, outage := range []bool{true, false} {
+		g := gomega.NewWithT(t)
+		r := newRig(t)
+		r.startTraffic()
+		if outage {
+			r.tables.Managed.Tables[state.InstanceTable].FailedAt = r.now - time.Second
+		}
+		leader := r.memberOf(large, 0)
+		r.lose(leader)
+		r.hosts[leader].silent = false
+		r.hosts[leader].refusing = true
+		r.run(2 * time.Second)
+		group := r.system.groups[r.hosts[leader].row.Membership.Group]
+		g.Expect(group.over).To(gomega.BeFalse())
+		_, known := r.system.phase(r.now, group)
+		g.Expect(known).To(gomega.BeFalse())
+	}
 }
 
 // TestHolderThatLostTheLeaseStops guards against orders of a holder that another
--- a/pkg/core/formation/host.go
+++ b/pkg/core/formation/host.go
@@ -167,7 +167,9 @@
 	}
 	h.probing = false
 	if !in.OK {
-		if in.Replaced || in.Refused && s.isCrash(now, h) {
+		// A refused connection proves nothing: a host that leaves stops listening
+		// before it ends, and a partition may refuse for a host that works.
+		if in.Replaced {
 			s.ledGroupsEnd(h)
 		}
 		s.unresponsive(now, h, in.Refused, out)
@@ -193,18 +195,6 @@
 	}
 }
 
-// listHealthy is how long the list of instances must have been followed without
-// a failure, so that a host that leaves would show as leaving.
-const listHealthy = 2500 * time.Millisecond
-
-// isCrash reports whether a host that has no listener has no process. A host
-// that leaves stops listening while it still works, but its entry says so or is
-// removed before that.
-func (s *System) isCrash(now time.Duration, h *host) bool {
-	view := &s.m.Tables[state.InstanceTable]
-	return h.row != nil && !h.row.Draining && (view.FailedAt < 0 || now-view.FailedAt > listHealthy)
-}
-
 // ledGroupsEnd notes that the process that led groups is gone.
 func (s *System) ledGroupsEnd(h *host) {
 	for _, g := range s.groups {
