--- a/pkg/core/formation/formation_test.go
+++ b/pkg/core/formation/formation_test.go
@@ -209,3 +209,22 @@
 	r.run(time.Second)
 	g.Expect(h.last.retiring).To(gomega.BeFalse())
 }
+
+// TestUnreachedMemberOfAGroupThatFlows guards against a group that ends because
+// this node does not reach a member, whose entry has lapsed too, while the leader
+// reaches it and streams go on.
+func TestUnreachedMemberOfAGroupThatFlows(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t)
+	r.startTraffic()
+	member := r.memberOf(large, 1)
+	group := r.system.hosts[member].last
+	r.tables.Managed.PeerLoads["n2"] = []state.TargetLoad{{Target: group.leader(), Running: 3}}
+	r.hosts[member].silent = true
+	r.lapse(member)
+	r.run(2 * time.Second)
+	g.Expect(group.retiring).To(gomega.BeFalse())
+	r.tables.Managed.PeerStalled[group.leader()] = r.now
+	r.run(500 * time.Millisecond)
+	g.Expect(group.retiring).To(gomega.BeTrue())
+}
--- a/pkg/core/formation/group.go
+++ b/pkg/core/formation/group.go
@@ -229,6 +229,10 @@
 		case h == nil:
 			return "member gone", true
 		case h.dead && rank > 0:
+			if s.flows(g) {
+				// The leader reaches it, or the streams would stand still.
+				continue
+			}
 			return "member does not answer", true
 		case h.dead:
 			return "leader does not answer", true
@@ -251,6 +255,24 @@
 	return "", false
 }
 
+// flows reports whether streams of a group go on: some node has streams there
+// and none finds the target silent.
+func (s *System) flows(g *group) bool {
+	leader := g.leader()
+	if s.m.Stalled[leader] > g.openAt || s.m.PeerStalled[leader] > g.openAt {
+		return false
+	}
+	if own := s.m.Loads[leader]; own != nil && own.Running > 0 {
+		return true
+	}
+	for _, loads := range s.m.PeerLoads {
+		if slices.ContainsFunc(loads, func(l state.TargetLoad) bool { return l.Target == leader && l.Running > 0 }) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *System) size(g *group) int {
 	for i := range s.m.Catalogue.Services {
 		service := &s.m.Catalogue.Services[i]
