Let leaders that may open late begin another order before their members go

A leader that was ready and not seen open is now told to leave first; its late order then no longer fits its count of orders. Ruled out: a stale list (fresh since 27.3 s) and the stand still of a cut leader (its entry was there). Test fails without the mechanism.

--- a/pkg/core/formation/formation.go
+++ b/pkg/core/formation/formation.go
@@ -43,10 +43,13 @@
 	hosts  map[state.HostID]*host
 	groups map[state.GroupID]*group
 	// plans are the groups that this node is forming, by name.
-	plans     map[state.GroupID]*plan
-	orders    map[uint64]*host
-	nextOrder uint64
-	nextEpoch uint64
+	plans map[state.GroupID]*plan
+	// neverOpened holds the groups that this node gave up before it told their
+	// leader to open.
+	neverOpened map[state.GroupID]bool
+	orders      map[uint64]*host
+	nextOrder   uint64
+	nextEpoch   uint64
 	// loads are the start times of loads of weights.
 	loads   []time.Duration
 	nextLog time.Duration
@@ -67,7 +70,7 @@
 	return &System{
 		t: t, m: t.Managed, hosts: map[state.HostID]*host{}, groups: map[state.GroupID]*group{},
 		plans: map[state.GroupID]*plan{}, orders: map[uint64]*host{},
-		conversions: map[state.DomainID]conversion{},
+		conversions: map[state.DomainID]conversion{}, neverOpened: map[state.GroupID]bool{},
 	}
 }
 
@@ -139,6 +142,8 @@
 	expect  time.Duration
 	opening bool
 	openAt  time.Duration
+	// told is set once the leader was told to open, also without an answer.
+	told bool
 }
 
 // advance moves a group in formation on: all members join, all report ready,
@@ -178,7 +183,7 @@
 	}
 	leader := s.hosts[p.members[0]]
 	if s.order(now, leader, state.HostOrder{Operation: state.HostOpen, Group: p.id, Epoch: p.epoch}, out) {
-		p.opening = true
+		p.opening, p.told = true, true
 		out.Log(event.GroupOpened, slog.String("group", string(p.id)), slog.Uint64("epoch", p.epoch),
 			slog.String("model", p.model.Name), slog.Duration("took", now-p.since))
 	}
@@ -195,6 +200,9 @@
 // finish forgets a plan, so that its members can be planned with again.
 func (s *System) finish(p *plan) {
 	delete(s.plans, p.id)
+	if !p.told {
+		s.neverOpened[p.id] = true
+	}
 	for _, id := range p.members {
 		if h := s.hosts[id]; h != nil && h.plan == p {
 			h.plan = nil
--- a/pkg/core/formation/formation_test.go
+++ b/pkg/core/formation/formation_test.go
@@ -228,3 +228,42 @@
 	r.run(500 * time.Millisecond)
 	g.Expect(group.retiring).To(gomega.BeTrue())
 }
+
+// TestLateOpenOfAnEarlierHolder guards against an order to open, given by an
+// earlier holder of the lease without an answer, that is carried out after the
+// members of the group have joined others: the leader begins another order first.
+func TestLateOpenOfAnEarlierHolder(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t)
+	r.startTraffic()
+	// A domain in which an earlier holder formed a group that it did not see open,
+	// and of which one member has left.
+	leader := r.memberOf(large, 0)
+	old := r.hosts[leader].row.Membership
+	for id, h := range r.hosts {
+		if h.row.Membership.Group == old.Group {
+			h.row.Membership.Group, h.row.Membership.Phase = "earlier", state.MemberReady
+			r.publish(r.hosts[id])
+		}
+	}
+	member := r.memberOf(large, 1)
+	for id, h := range r.hosts {
+		if h.row.Membership.Group == "earlier" && h.row.Membership.Rank == 1 {
+			member = id
+		}
+	}
+	r.hosts[member].row.Membership = state.Membership{}
+	r.publish(r.hosts[member])
+	lead := r.hosts[leader]
+	lead.late = append(lead.late, lateOrder{r.now + 500*time.Millisecond, state.HostOrder{
+		Host: leader, Operation: state.HostOpen, Group: "earlier", Epoch: old.Epoch, Sequence: lead.sequence,
+	}})
+	r.run(5 * time.Second)
+	g.Expect(r.violations).To(gomega.BeEmpty())
+	for _, o := range r.orders {
+		if o.Operation == state.HostLeave && o.Host == leader {
+			return
+		}
+	}
+	t.Fatal("the leader was not told to leave")
+}
--- a/pkg/core/formation/group.go
+++ b/pkg/core/formation/group.go
@@ -164,7 +164,7 @@
 		return h.row.Membership.Phase, true
 	case h.row == nil && !h.dead && g.reportedAt > 0 && now-g.reportedAt < 2*probePeriod:
 		return g.reported, true
-	case !g.open:
+	case !g.open && s.neverOpened[g.id]:
 		return state.MemberNone, true
 	case g.brokenAt > 0 && now-g.brokenAt > standTime:
 		return state.MemberNone, true
@@ -188,6 +188,9 @@
 		if !g.open && !g.retiring {
 			s.adopt(now, g, out)
 		}
+		if s.plans[g.id] == nil && s.mayOpenLate(g) && now-g.firstAt > disarmAfter {
+			s.order(now, leader, state.HostOrder{Operation: state.HostLeave, Group: g.id, Epoch: g.epoch}, out)
+		}
 		fallthrough
 	default:
 		if g.retiring && !g.released {
@@ -255,6 +258,19 @@
 	return "", false
 }
 
+// disarmAfter is how long a group that is ready and not open may take to become
+// one that this node can open itself.
+const disarmAfter = 300 * time.Millisecond
+
+// mayOpenLate reports whether an order to open a group, given by an earlier
+// holder of the lease or without an answer, may still be carried out. Its leader
+// must have begun another order before its members join other groups.
+func (s *System) mayOpenLate(g *group) bool {
+	h := s.hosts[g.leader()]
+	return !g.open && !s.neverOpened[g.id] && !g.over && h != nil && h.row != nil &&
+		h.row.Membership.Group == g.id && h.row.Membership.Epoch == g.epoch
+}
+
 // flows reports whether streams of a group go on: some node has streams there
 // and none finds the target silent.
 func (s *System) flows(g *group) bool {
@@ -341,7 +357,7 @@
 		}
 	}
 	p := &plan{
-		id: g.id, epoch: g.epoch, service: g.service, model: model, members: slices.Clone(g.members),
+		told: true, id: g.id, epoch: g.epoch, service: g.service, model: model, members: slices.Clone(g.members),
 		joined: map[state.HostID]bool{}, since: now, expect: engine.OpenTime,
 	}
 	for _, id := range p.members {
--- a/pkg/core/formation/host.go
+++ b/pkg/core/formation/host.go
@@ -141,6 +141,10 @@
 		}
 	case state.HostStage:
 		h.staging, h.stagingAt = o.Model, now
+	case state.HostLeave:
+		if g := s.groups[o.Group]; g != nil && g.epoch == o.Epoch && g.leader() == h.id {
+			g.over = true
+		}
 	case state.HostCloseNow, state.HostCloseQueue:
 		if g := s.groups[o.Group]; g != nil && g.epoch == o.Epoch {
 			g.closed = true
--- a/pkg/core/formation/plan.go
+++ b/pkg/core/formation/plan.go
@@ -280,7 +280,7 @@
 
 func (s *System) isOver(now time.Duration, g *group) bool {
 	phase, known := s.phase(now, g)
-	return known && phase != state.MemberOpen && phase != state.MemberClosing
+	return known && phase != state.MemberOpen && phase != state.MemberClosing && !s.mayOpenLate(g)
 }
 
 // count returns the groups of each model that serve or will soon, and the hosts
