--- a/pkg/command/explain.go
+++ b/pkg/command/explain.go
@@ -168,7 +168,7 @@
 		case "time", "level", "msg", "event":
 			continue
 		}
-		text := ""
+		var text string
 		if n, ok := value.(float64); ok && isDuration(name) {
 			text = time.Duration(n).Round(time.Microsecond).String()
 		} else {
--- a/pkg/core/formation/plan_test.go
+++ b/pkg/core/formation/plan_test.go
@@ -1,6 +1,7 @@
 package formation
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -98,7 +99,7 @@
 	g := gomega.NewWithT(t)
 	free := append(hostsOf("d", large, 3, large), hostsOf("d", "", 1)...)
 	chosen := chooseStaging(free, models, map[string]int{large: 4, small: 9}, map[string]float64{large: 5, small: 5})
-	g.Expect(chosen).To(gomega.Equal(map[state.HostID]string{"da": large}))
+	g.Expect(chosen).To(gomega.Equal([]load{{"da", large, 1}}))
 }
 
 // TestStagingKeepsAnotherModel guards against a host that can serve one model
@@ -106,7 +107,7 @@
 func TestStagingKeepsAnotherModel(t *testing.T) {
 	g := gomega.NewWithT(t)
 	chosen := chooseStaging(hostsOf("d", small, 1, small), models, map[string]int{large: 4, small: 9}, map[string]float64{large: 5, small: 5})
-	g.Expect(chosen).To(gomega.Equal(map[state.HostID]string{"dsmalla": large}))
+	g.Expect(chosen).To(gomega.Equal([]load{{"dsmalla", large, noGroup}}))
 	chosen = chooseStaging(hostsOf("d", small, 1, large), models, map[string]int{large: 4, small: 9}, map[string]float64{large: 5, small: 5})
 	g.Expect(chosen).To(gomega.BeEmpty())
 }
@@ -118,3 +119,24 @@
 	wanted := wantedGroups(models, map[string]float64{large: 0.67 / 4, small: 0.33 / 2}, 48)
 	g.Expect(wanted).To(gomega.Equal(map[string]int{large: 6, small: 12}))
 }
+
+// TestLoadsAtOnceAreBounded guards against more loads than the weight store
+// serves at once, each of which then takes longer: orders count before they are
+// answered.
+func TestLoadsAtOnceAreBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t)
+	r.startTraffic()
+	for i := range 12 {
+		r.add(state.HostID(fmt.Sprintf("new%02d", i)), "d9")
+	}
+	n := len(r.orders)
+	r.run(3 * time.Second)
+	loads := 0
+	for _, o := range r.orders[n:] {
+		if o.Operation == state.HostStage {
+			loads++
+		}
+	}
+	g.Expect(loads).To(gomega.And(gomega.BeNumerically(">", 0), gomega.BeNumerically("<=", r.engine.LoadsAtOnce)))
+}
--- a/pkg/core/formation/rig_test.go
+++ b/pkg/core/formation/rig_test.go
@@ -83,13 +83,12 @@
 	return r
 }
 
-func (r *rig) add(id state.HostID, domain state.DomainID) *fakeHost {
+func (r *rig) add(id state.HostID, domain state.DomainID) {
 	h := &fakeHost{listed: true, row: state.Instance{
 		ID: id, Service: "pool", Address: string(id), DataCentre: "a", Domain: domain, Slots: 26, Born: 1,
 	}}
 	r.hosts[id] = h
 	r.publish(h)
-	return h
 }
 
 // publish puts a host's row into the node's list.
--- a/pkg/core/formation/stage.go
+++ b/pkg/core/formation/stage.go
@@ -27,7 +27,7 @@
 	needs := s.needs(now, engine.Models)
 	running := 0
 	for _, h := range s.hosts {
-		if h.staging != "" && h.row != nil {
+		if h.row != nil && (h.staging != "" || h.sent != nil && h.sent.Operation == state.HostStage) {
 			running++
 		}
 	}
@@ -36,11 +36,14 @@
 	for _, f := range free {
 		byDomain[f.domain] = append(byDomain[f.domain], f)
 	}
+	var loads []load
 	for _, domain := range sortedKeys(byDomain) {
-		chosen := chooseStaging(byDomain[domain], engine.Models, live, needs)
-		for _, f := range byDomain[domain] {
-			running += s.stage(now, engine, s.hosts[f.id], chosen[f.id], running, out)
-		}
+		loads = append(loads, chooseStaging(byDomain[domain], engine.Models, live, needs)...)
+	}
+	// Loads at once are few, so what soonest makes up a group comes first.
+	slices.SortStableFunc(loads, func(a, b load) int { return cmp.Compare(a.missing, b.missing) })
+	for _, l := range loads {
+		running += s.stage(now, engine, s.hosts[l.host], l.model, running, out)
 	}
 	for _, id := range sortedKeys(s.hosts) {
 		h := s.hosts[id]
@@ -100,12 +103,27 @@
 		float64(len(s.loads)) < engine.LoadsPerSecond*loadShare*loadWindow.Seconds()
 }
 
-// chooseStaging returns the model that each free host of a domain is to hold. A
-// group that lacks only the weights on some hosts comes first, by the work for
-// its model. Any other host is to hold a model besides the one that it served
-// last, or keeps what it holds.
-func chooseStaging(free []freeHost, models []state.ModelProfile, live map[string]int, needs map[string]float64) map[state.HostID]string {
-	chosen := map[state.HostID]string{}
+// load is a model that a free host is to stage.
+type load struct {
+	host  state.HostID
+	model string
+	// missing is the number of loads after which the host's group can be formed;
+	// noGroup where the load only prepares for another model.
+	missing int
+}
+
+const noGroup = 1 << 10
+
+// chooseStaging returns the loads of the free hosts of a domain. A group that
+// lacks only the weights on some hosts comes first, by the work for its model.
+// Any other host is to hold a model besides the one that it served last, or keeps
+// what it holds.
+//
+// Load pattern: hosts are lost and empty ones come, faster than six loads at once
+// can follow. Loads in the order of names left ten hosts without a group for ten
+// seconds, though two of them would have made one up.
+func chooseStaging(free []freeHost, models []state.ModelProfile, live map[string]int, needs map[string]float64) []load {
+	var loads []load
 	rest := slices.Clone(free)
 	ranked := slices.Clone(models)
 	slices.SortStableFunc(ranked, func(a, b state.ModelProfile) int {
@@ -117,20 +135,24 @@
 			continue
 		}
 		slices.SortStableFunc(rest, func(a, b freeHost) int { return cmp.Compare(a.warmth(m.Name), b.warmth(m.Name)) })
+		first := len(loads)
 		for _, f := range rest[:m.Size] {
 			if f.warmth(m.Name) == cold {
-				chosen[f.id] = m.Name
+				loads = append(loads, load{host: f.id, model: m.Name})
 			}
 		}
+		for j := first; j < len(loads); j++ {
+			loads[j].missing = len(loads) - first
+		}
 		rest = rest[m.Size:]
 	}
 	for _, f := range rest {
 		switch {
 		case len(f.staged) == 0 && f.model == "":
-			chosen[f.id] = ranked[0].Name
+			loads = append(loads, load{f.id, ranked[0].Name, noGroup})
 		case f.model != "" && (len(f.staged) == 0 || slices.Contains(f.staged, f.model)):
-			chosen[f.id] = otherModel(f.model, models, live, needs)
+			loads = append(loads, load{f.id, otherModel(f.model, models, live, needs), noGroup})
 		}
 	}
-	return chosen
+	return loads
 }
--- a/pkg/core/inventory/inventory_test.go
+++ b/pkg/core/inventory/inventory_test.go
@@ -55,8 +55,8 @@
 	r.step(state.RowsSeen{Table: table, Whole: true, Revision: revision, Rows: rows, SentAt: r.now})
 }
 
-func (r *rig) changes(table state.TableKind, revision uint64, rows ...state.SeenRow) []state.Output {
-	return r.step(state.RowsSeen{Table: table, Revision: revision, Rows: rows, SentAt: r.now})
+func (r *rig) changes(table state.TableKind, revision uint64, rows ...state.SeenRow) {
+	r.step(state.RowsSeen{Table: table, Revision: revision, Rows: rows, SentAt: r.now})
 }
 
 func (r *rig) after(d time.Duration) {
