--- a/pkg/core/dispatch/dispatch_test.go
+++ b/pkg/core/dispatch/dispatch_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"testing"
 	"time"
@@ -321,3 +322,65 @@
 	g.Expect(sent).To(gomega.BeNumerically("<=", 30))
 	g.Expect(senders).To(gomega.Equal(8))
 }
+
+// TestSilentTargetGetsNothing guards against new work for a target whose streams
+// are all silent, however idle it looks.
+func TestSilentTargetGetsNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t, 2)
+	id := r.request("/a/", 10)
+	silent := r.started(id).Target
+	r.event(id, state.AttemptFirstByte)
+	r.event(id, state.AttemptStalled)
+	for range 20 {
+		other := r.request("/a/", 10)
+		g.Expect(r.started(other).Target).NotTo(gomega.Equal(silent))
+	}
+}
+
+// TestRefusedRequestGoesElsewhere guards against a further attempt at the target
+// that refused the first one.
+func TestRefusedRequestGoesElsewhere(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t, 2)
+	id := r.request("/a/", 10)
+	first := r.started(id)
+	for _, other := range []state.HostID{"g0", "g1"} {
+		if other != first.Instance {
+			r.tables.Managed.PeerLoads["n2"] = []state.TargetLoad{{Target: other, Running: 20}}
+		}
+	}
+	r.step(state.PeerMessage{From: "n2", Message: state.Message{Bulletin: &state.Bulletin{}}})
+	r.end(id, state.FailureHeldUp, apierror.NotRun)
+	g.Expect(r.started(id).Attempt).To(gomega.Equal(2))
+	g.Expect(r.started(id).Target).NotTo(gomega.Equal(first.Target))
+}
+
+// TestTimeToComeBackFitsTheDeadline guards against a time to come back that the
+// caller does not have: it takes up to a third of what is left.
+func TestTimeToComeBackFitsTheDeadline(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for range 20 {
+		r := newRig(t, 0)
+		id := state.RequestID("short")
+		r.step(state.RequestArrived{ID: id, Routed: &state.RoutedRequest{
+			HostName: "shop.example", Path: "/a/", HasKey: true, KeyHash: sha256.Sum256([]byte(apiKey)), Model: model,
+			Deadline: 600 * time.Millisecond,
+		}})
+		g.Expect(r.reply(id).Refusal.RetryAfter).To(gomega.BeNumerically("<=", 200*time.Millisecond))
+	}
+}
+
+// TestOnceIsNeverSentAgainWhereAttemptsAreLeft guards against the number of
+// attempts standing in for the rule that a request runs once.
+func TestOnceIsNeverSentAgainWhereAttemptsAreLeft(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t, 1)
+	r.tables.Managed.Catalogue.Routes[1].MaxAttempts = 3
+	broken := r.request("/a/b/", 0)
+	r.end(broken, state.FailureBroken, apierror.Unknown)
+	g.Expect(r.started(broken).Attempt).To(gomega.Equal(1))
+	refused := r.request("/a/b/", 0)
+	r.end(refused, state.FailureRefused, apierror.NotRun)
+	g.Expect(r.started(refused).Attempt).To(gomega.Equal(2))
+}
