--- a/internal/freeport/freeport.go
+++ b/internal/freeport/freeport.go
@@ -6,20 +6,37 @@
 	"net"
 	"os"
 	"strconv"
+	"sync"
 
 	"github.com/pkg/errors"
 )
 
-// Address returns a loopback address on which nothing listens. The IP number
-// belongs to the calling process alone: on 127.0.0.1 the port could be taken
-// by any outgoing connection between the choice and its use.
+var (
+	mu sync.Mutex
+	// given holds the addresses returned so far. The system may choose the same
+	// port again before the process that it was meant for listens there.
+	given = map[string]bool{}
+)
+
+// Address returns a loopback address on which nothing listens, and never the
+// same one twice. The IP number belongs to the calling process alone: on
+// 127.0.0.1 the port could be taken by any outgoing connection between the choice
+// and its use.
 func Address() (string, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(ownIP(), "0"))
-	if err != nil {
-		return "", errors.Wrap(err, "choose a free port")
+	mu.Lock()
+	defer mu.Unlock()
+	for {
+		l, err := net.Listen("tcp", net.JoinHostPort(ownIP(), "0"))
+		if err != nil {
+			return "", errors.Wrap(err, "choose a free port")
+		}
+		address := l.Addr().String()
+		_ = l.Close()
+		if !given[address] {
+			given[address] = true
+			return address, nil
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
 }
 
 // ownIP returns a number of 127.0.0.0/8 that stands for the process id. All
--- /dev/null
+++ b/pkg/core/formation/retire.go
@@ -0,0 +1,75 @@
+package formation
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	"github.com/apricotgrade/apricotgrade/pkg/event"
+)
+
+// retire closes the leader of a group, so that its members may join others.
+// Where the leader does not answer, the members leave it: it may still serve for
+// nodes that reach it, and stands still from then on.
+func (s *System) retire(now time.Duration, g *group, leader *host, phase state.MemberPhase, out *state.Outbox) {
+	if !g.cut && now-g.retiredAt > g.closeWithin() {
+		g.cut, g.closed = true, false
+	}
+	if leader == nil || leader.dead {
+		s.leaveGroup(now, g, out)
+		return
+	}
+	if g.closed && now-g.retiredAt < orderTimeout || phase == state.MemberClosing && !g.cut {
+		return
+	}
+	operation := state.HostCloseQueue
+	if g.cut {
+		operation = state.HostCloseNow
+	}
+	s.order(now, leader, state.HostOrder{Operation: operation, Group: g.id, Epoch: g.epoch}, out)
+}
+
+func (s *System) leaveGroup(now time.Duration, g *group, out *state.Outbox) {
+	for rank, id := range g.members {
+		h := s.hosts[id]
+		if rank == 0 || h == nil || h.row == nil || h.dead {
+			continue
+		}
+		if m := h.row.Membership; m.Group != g.id || m.Epoch != g.epoch {
+			if g.brokenAt == 0 {
+				g.brokenAt = now
+			}
+			continue
+		}
+		s.order(now, h, state.HostOrder{Operation: state.HostLeave, Group: g.id, Epoch: g.epoch}, out)
+	}
+}
+
+// adopt goes on with a group that an earlier holder of the lease left ready.
+func (s *System) adopt(now time.Duration, g *group, out *state.Outbox) {
+	engine := s.engine(g.service)
+	if engine == nil {
+		return
+	}
+	model := engine.Model(g.model)
+	if model == nil || len(g.members) != model.Size {
+		return
+	}
+	for _, id := range g.members {
+		h := s.hosts[id]
+		if h == nil || h.row == nil || h.plan != nil || h.dead || h.row.Draining ||
+			h.row.Membership.Group != g.id || h.row.Membership.Epoch != g.epoch || h.row.Membership.Phase != state.MemberReady {
+			return
+		}
+	}
+	p := &plan{
+		told: true, id: g.id, epoch: g.epoch, service: g.service, model: model, members: slices.Clone(g.members),
+		joined: map[state.HostID]bool{}, since: now, expect: engine.OpenTime,
+	}
+	for _, id := range p.members {
+		p.joined[id], s.hosts[id].plan = true, p
+	}
+	s.plans[p.id] = p
+	out.Log(event.GroupJoining, slog.String("group", string(p.id)), slog.String("reason", "left by an earlier holder"))
+}
--- /dev/null
+++ b/pkg/core/state/bulletin.go
@@ -0,0 +1,97 @@
+package state
+
+import "time"
+
+// TargetLoad is what one node has sent to a target and what has not ended.
+type TargetLoad struct {
+	Target HostID `cbor:"1,keyasint"`
+	// Running counts streams that have begun; Waiting requests without a first
+	// event; WaitingTokens the prompt tokens of the latter.
+	Running       int `cbor:"2,keyasint,omitempty"`
+	Waiting       int `cbor:"3,keyasint,omitempty"`
+	WaitingTokens int `cbor:"4,keyasint,omitempty"`
+}
+
+// RowsSeen is what a call to the platform's store or a peer told about a table.
+// Exactly one field of each row is set besides its key.
+type RowsSeen struct {
+	Table TableKind `cbor:"1,keyasint"`
+	// Whole is set when Rows holds the whole table.
+	Whole    bool      `cbor:"2,keyasint,omitempty"`
+	Rows     []SeenRow `cbor:"3,keyasint,omitempty"`
+	Revision uint64    `cbor:"4,keyasint"`
+	// SentAt is the time at which the call was sent.
+	SentAt time.Duration `cbor:"-"`
+	// Failed is set when the store did not answer.
+	Failed bool `cbor:"-"`
+	// Since is the revision of the table before these rows, where a peer passes
+	// them on. Who holds an older one lacks rows in between.
+	Since uint64 `cbor:"5,keyasint,omitempty"`
+}
+
+// SeenRow is a decoded row of a table.
+type SeenRow struct {
+	Key      string `cbor:"1,keyasint"`
+	Revision uint64 `cbor:"2,keyasint"`
+	// Removed is set for a row that was dropped, and for one that names nothing
+	// that can be used.
+	Removed   bool            `cbor:"3,keyasint,omitempty"`
+	Catalogue *Catalogue      `cbor:"4,keyasint,omitempty"`
+	Evacuated DataCentre      `cbor:"5,keyasint,omitempty"`
+	Instance  *Instance       `cbor:"6,keyasint,omitempty"`
+	Node      *RegisteredNode `cbor:"7,keyasint,omitempty"`
+	Lease     *LeaseRow       `cbor:"8,keyasint,omitempty"`
+}
+
+// Bulletin is what nodes tell each other every BulletinPeriod.
+type Bulletin struct {
+	// Revisions are those of the tables that the sender holds, by kind.
+	Revisions []uint64 `cbor:"1,keyasint,omitempty"`
+	// Alive lists the nodes that the sender hears, at times.
+	Alive []NodeID `cbor:"2,keyasint,omitempty"`
+	// EvidenceAge is the age of the sender's last answer of the store; negative
+	// when it has none.
+	EvidenceAge time.Duration `cbor:"3,keyasint"`
+	Loads       []TargetLoad  `cbor:"4,keyasint,omitempty"`
+	// Stalled lists the targets whose streams have all fallen silent.
+	Stalled []HostID      `cbor:"5,keyasint,omitempty"`
+	Demand  []ModelDemand `cbor:"6,keyasint,omitempty"`
+	Traffic bool          `cbor:"7,keyasint,omitempty"`
+	// InstancesAge is the age of the sender's list of instances; negative when it
+	// has none.
+	InstancesAge time.Duration `cbor:"9,keyasint"`
+	// Total is set when the counts are those of all nodes, the receiver included,
+	// and not of the sender and its leaves.
+	Total bool `cbor:"8,keyasint,omitempty"`
+}
+
+// ModelDemand is the work asked for of a model in engine seconds per second.
+type ModelDemand struct {
+	Model string  `cbor:"1,keyasint"`
+	Work  float64 `cbor:"2,keyasint"`
+}
+
+// BulletinPeriod is the period of bulletins. A target's load is at most this
+// much older at a peer than at its own node.
+const BulletinPeriod = 100 * time.Millisecond
+
+// RowsRequest asks a peer for a table as it holds it.
+type RowsRequest struct {
+	Table TableKind `cbor:"1,keyasint"`
+}
+
+// FollowTables says whether this node follows the store's tables itself.
+type FollowTables struct {
+	// On is for the configuration and the nodes, Instances for the instances.
+	On        bool
+	Instances bool
+	// Urgent is set for the node that forms groups, which acts on each change.
+	Urgent bool
+}
+
+func (FollowTables) output()    {}
+func (RowsSeen) input()         {}
+func (HostOrderResult) input()  {}
+func (HostReport) input()       {}
+func (HostOrder) output()       {}
+func (FetchHostReport) output() {}
--- /dev/null
+++ b/pkg/core/state/hostorder.go
@@ -0,0 +1,90 @@
+package state
+
+import "time"
+
+// HostOperation is what a host is told to do.
+type HostOperation uint8
+
+// Host operations.
+const (
+	// HostJoin makes the host a member of a replica group.
+	HostJoin HostOperation = iota
+	// HostOpen lets the leader of a group serve.
+	HostOpen
+	// HostCloseQueue lets a leader finish its work and serve no more.
+	HostCloseQueue
+	// HostCloseNow cuts the work of a leader off.
+	HostCloseNow
+	// HostLeave takes the host out of its group.
+	HostLeave
+	// HostStage brings the weights of a model onto the host.
+	HostStage
+)
+
+// HostOrder is an order to a host. It is refused by the host if its fence is
+// lower than one seen there, or if the host has begun another order since.
+type HostOrder struct {
+	ID        uint64
+	Host      HostID
+	Address   string
+	Operation HostOperation
+	Group     GroupID
+	Epoch     uint64
+	Model     string
+	Members   []HostID
+	Fence     Fence
+	// Sequence is the number of orders that the host must have begun so far.
+	Sequence uint64
+}
+
+// OrderOutcome is what is known about an order.
+type OrderOutcome uint8
+
+// Order outcomes.
+const (
+	// OrderBegun means that the host has begun the order.
+	OrderBegun OrderOutcome = iota
+	// OrderHeld means that the ordered state held already.
+	OrderHeld
+	// OrderConflict means that it does not fit the state of the host.
+	OrderConflict
+	// OrderFenced means that the host has seen a higher fence.
+	OrderFenced
+	// OrderInvalid means that the host knows no such order or is another one.
+	OrderInvalid
+	// OrderUnreached means that no connection was made: nothing was sent.
+	OrderUnreached
+	// OrderUnknown means that no answer came. The order may be carried out later.
+	OrderUnknown
+)
+
+// HostOrderResult answers a HostOrder.
+type HostOrderResult struct {
+	ID      uint64
+	Host    HostID
+	Outcome OrderOutcome
+}
+
+// FetchHostReport asks a host how it is.
+type FetchHostReport struct {
+	Host    HostID
+	Address string
+	SentAt  time.Duration
+}
+
+// HostReport answers a FetchHostReport.
+type HostReport struct {
+	Host   HostID
+	SentAt time.Duration
+	// OK is false when no answer came. Refused is then set when the host refused
+	// the connection, as one without a listener does, and Replaced when another
+	// process answers at its address.
+	OK       bool
+	Refused  bool
+	Replaced bool
+	// Sequence is the number of orders that the host has begun in this life.
+	Sequence   uint64
+	Born       int64
+	Pace       float64
+	Membership Membership
+}
--- /dev/null
+++ b/pkg/core/state/instance.go
@@ -0,0 +1,73 @@
+package state
+
+import "time"
+
+// Instance is one registered process of a service: a host that can be a member
+// of replica groups, or a replica of a plain service.
+type Instance struct {
+	ID         HostID     `cbor:"1,keyasint"`
+	Service    string     `cbor:"2,keyasint"`
+	Address    string     `cbor:"3,keyasint"`
+	DataCentre DataCentre `cbor:"4,keyasint"`
+	Domain     DomainID   `cbor:"5,keyasint,omitempty"`
+	Slots      int        `cbor:"6,keyasint,omitempty"`
+	Draining   bool       `cbor:"7,keyasint,omitempty"`
+	// ColdFor is for how long the instance was still cold when it wrote.
+	ColdFor time.Duration `cbor:"8,keyasint,omitempty"`
+	// Born tells the lives of one id apart.
+	Born int64 `cbor:"9,keyasint,omitempty"`
+	// Staged lists the models whose weights are on the host.
+	Staged []string `cbor:"10,keyasint,omitempty"`
+	// Model is the model that the host has loaded.
+	Model      string     `cbor:"11,keyasint,omitempty"`
+	Membership Membership `cbor:"12,keyasint"`
+	Revision   uint64     `cbor:"13,keyasint"`
+	// SeenAt is when this node first saw this revision. It is not passed on.
+	SeenAt time.Duration `cbor:"-"`
+}
+
+// MemberPhase is the phase of a host in its replica group.
+type MemberPhase uint8
+
+// Phases of a member.
+const (
+	MemberNone MemberPhase = iota
+	MemberJoining
+	MemberReady
+	// MemberOpen, MemberClosing and MemberBroken are phases of a leader.
+	MemberOpen
+	MemberClosing
+	MemberBroken
+)
+
+// Membership is a host's place in a replica group.
+type Membership struct {
+	Group GroupID     `cbor:"1,keyasint,omitempty"`
+	Epoch uint64      `cbor:"2,keyasint,omitempty"`
+	Rank  int         `cbor:"3,keyasint,omitempty"`
+	Phase MemberPhase `cbor:"4,keyasint,omitempty"`
+}
+
+// RegisteredNode is an entry daemon as it registered itself.
+type RegisteredNode struct {
+	Entry    NodeEntry `cbor:"1,keyasint"`
+	Revision uint64    `cbor:"2,keyasint"`
+}
+
+// FormationLease is the lease under which one node gives orders to hosts.
+type FormationLease struct {
+	Row      LeaseRow
+	Revision uint64
+	// SeenAt is when this node first saw the present renewal.
+	SeenAt time.Duration
+}
+
+// Keys of rows as the core knows them.
+const (
+	// PrefixEvacuated is that of data centres without new work.
+	PrefixEvacuated = "evacuated/"
+	// PrefixNode and KeyFormationLease are in this system's own table.
+	PrefixNode         = "node/"
+	KeyFormationLease  = "lease/formation"
+	FormationLeaseName = DataCentre("formation")
+)
--- /dev/null
+++ b/pkg/core/state/routed.go
@@ -0,0 +1,25 @@
+package state
+
+import "time"
+
+// RoutedRequest is what a request says where its host name and path choose the
+// route.
+type RoutedRequest struct {
+	HostName string
+	Path     string
+	// KeyHash is the digest of the key; HasKey is false without one.
+	KeyHash [32]byte
+	HasKey  bool
+	// AttemptID is the id that the caller gave this request.
+	AttemptID string
+	// Model is empty for a request to a plain service.
+	Model        string
+	PromptTokens int
+	OutputTokens int
+	// OutputHint is the caller's estimate of the output in tokens; 0 is none.
+	OutputHint int
+	// LastEvent is the id of the last event that the caller has.
+	LastEvent string
+	// Deadline is how long the caller waits.
+	Deadline time.Duration
+}
