--- a/pkg/core/formation/formation.go
+++ b/pkg/core/formation/formation.go
@@ -45,8 +45,9 @@
 	// plans are the groups that this node is forming, by name.
 	plans map[state.GroupID]*plan
 	// neverOpened holds the groups that this node gave up before it told their
-	// leader to open.
-	neverOpened map[state.GroupID]bool
+	// leader to open, with the time at which it did. They are forgotten with the
+	// groups.
+	neverOpened map[state.GroupID]time.Duration
 	orders      map[uint64]*host
 	nextOrder   uint64
 	nextEpoch   uint64
@@ -70,7 +71,7 @@
 	return &System{
 		t: t, m: t.Managed, hosts: map[state.HostID]*host{}, groups: map[state.GroupID]*group{},
 		plans: map[state.GroupID]*plan{}, orders: map[uint64]*host{},
-		conversions: map[state.DomainID]conversion{}, neverOpened: map[state.GroupID]bool{},
+		conversions: map[state.DomainID]conversion{}, neverOpened: map[state.GroupID]time.Duration{},
 	}
 }
 
@@ -174,7 +175,7 @@
 		case state.MemberReady:
 			ready++
 		case state.MemberOpen:
-			s.finish(p)
+			s.finish(now, p)
 			return
 		}
 	}
@@ -192,16 +193,16 @@
 // abandon gives up a group in formation. Its members are free: none of them
 // serves, and their next group has a higher epoch.
 func (s *System) abandon(now time.Duration, p *plan, reason string, out *state.Outbox) {
-	s.finish(p)
+	s.finish(now, p)
 	out.Log(event.GroupGivenUp, slog.String("group", string(p.id)), slog.Uint64("epoch", p.epoch),
 		slog.String("reason", reason), slog.Duration("age", now-p.since))
 }
 
 // finish forgets a plan, so that its members can be planned with again.
-func (s *System) finish(p *plan) {
+func (s *System) finish(now time.Duration, p *plan) {
 	delete(s.plans, p.id)
 	if !p.told {
-		s.neverOpened[p.id] = true
+		s.neverOpened[p.id] = now
 	}
 	for _, id := range p.members {
 		if h := s.hosts[id]; h != nil && h.plan == p {
--- a/pkg/core/formation/group.go
+++ b/pkg/core/formation/group.go
@@ -114,6 +114,11 @@
 			delete(s.groups, id)
 		}
 	}
+	for id, at := range s.neverOpened {
+		if s.groups[id] == nil && now-at > forgetGroup {
+			delete(s.neverOpened, id)
+		}
+	}
 }
 
 func (s *System) observeMember(now time.Duration, in *state.Instance) {
@@ -164,7 +169,7 @@
 		return h.row.Membership.Phase, true
 	case h.row == nil && !h.dead && g.reportedAt > 0 && now-g.reportedAt < 2*probePeriod:
 		return g.reported, true
-	case !g.open && s.neverOpened[g.id]:
+	case !g.open && s.wasNeverOpened(g):
 		return state.MemberNone, true
 	case g.brokenAt > 0 && now-g.brokenAt > standTime:
 		return state.MemberNone, true
@@ -262,12 +267,19 @@
 // one that this node can open itself.
 const disarmAfter = 300 * time.Millisecond
 
+// wasNeverOpened reports whether this node gave the group up before it told its
+// leader to open.
+func (s *System) wasNeverOpened(g *group) bool {
+	_, ok := s.neverOpened[g.id]
+	return ok
+}
+
 // mayOpenLate reports whether an order to open a group, given by an earlier
 // holder of the lease or without an answer, may still be carried out. Its leader
 // must have begun another order before its members join other groups.
 func (s *System) mayOpenLate(g *group) bool {
 	h := s.hosts[g.leader()]
-	return !g.open && !s.neverOpened[g.id] && !g.over && h != nil && h.row != nil &&
+	return !g.open && !s.wasNeverOpened(g) && !g.over && h != nil && h.row != nil &&
 		h.row.Membership.Group == g.id && h.row.Membership.Epoch == g.epoch
 }
 
