--- a/pkg/core/dispatch/attempt.go
+++ b/pkg/core/dispatch/attempt.go
@@ -89,7 +89,7 @@
 	}
 	s.setSuspect(t, true, out)
 	s.m.Stalled[t.id] = now
-	for _, id := range sortedJobs(t.jobs) {
+	for _, id := range state.SortedKeys(t.jobs) {
 		other := t.jobs[id]
 		switch {
 		case !other.begun && other != j:
@@ -282,12 +282,3 @@
 	state.FailureRefused: "refused", state.FailureTarget: "target", state.FailureCancelled: "cancelled",
 	state.FailureHeldUp: "held_up",
 }
-
-func sortedJobs(jobs map[state.RequestID]*job) []state.RequestID {
-	ids := make([]state.RequestID, 0, len(jobs))
-	for id := range jobs {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
--- a/pkg/core/formation/convert.go
+++ b/pkg/core/formation/convert.go
@@ -155,7 +155,7 @@
 			}
 		}
 	}
-	for _, id := range sortedKeys(s.groups) {
+	for _, id := range state.SortedKeys(s.groups) {
 		g := s.groups[id]
 		if g.service != service.Name || g.retiring || s.plans[id] != nil || len(g.members) != s.size(g) {
 			continue
@@ -176,7 +176,7 @@
 		}
 	}
 	var out []domainState
-	for _, domain := range sortedKeys(byDomain) {
+	for _, domain := range state.SortedKeys(byDomain) {
 		out = append(out, *byDomain[domain])
 	}
 	return out
--- a/pkg/core/formation/formation.go
+++ b/pkg/core/formation/formation.go
@@ -5,7 +5,6 @@
 
 import (
 	"log/slog"
-	"slices"
 	"time"
 
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
@@ -115,10 +114,10 @@
 // act does what the state of the hosts asks for.
 func (s *System) act(now time.Duration, out *state.Outbox) {
 	s.probeSuspects(now, out)
-	for _, id := range sortedKeys(s.plans) {
+	for _, id := range state.SortedKeys(s.plans) {
 		s.advance(now, s.plans[id], out)
 	}
-	for _, id := range sortedKeys(s.groups) {
+	for _, id := range state.SortedKeys(s.groups) {
 		s.maintain(now, s.groups[id], out)
 	}
 	for i := range s.m.Catalogue.Services {
@@ -219,12 +218,3 @@
 
 // epochBits leaves room for the groups of one holder.
 const epochBits = 16
-
-func sortedKeys[K ~string, V any](m map[K]V) []K {
-	keys := make([]K, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/pkg/core/formation/formation_test.go
+++ b/pkg/core/formation/formation_test.go
@@ -12,7 +12,7 @@
 
 // memberOf returns a member with a rank of a serving group of a model.
 func (r *rig) memberOf(model string, rank int) state.HostID {
-	for _, id := range sortedKeys(r.hosts) {
+	for _, id := range state.SortedKeys(r.hosts) {
 		if h := r.hosts[id]; h.row.Membership.Rank == rank && h.row.Model == model && h.row.Membership.Group != "" {
 			return id
 		}
@@ -154,7 +154,7 @@
 	g := gomega.NewWithT(t)
 	r := newRig(t)
 	r.startTraffic()
-	for _, id := range sortedKeys(r.hosts) {
+	for _, id := range state.SortedKeys(r.hosts) {
 		r.hosts[id].lose = 1
 	}
 	r.lose(r.memberOf(large, 1))
--- a/pkg/core/formation/group.go
+++ b/pkg/core/formation/group.go
@@ -326,7 +326,7 @@
 // probeSuspects asks the members of groups that callers' streams show to be
 // silent. Nothing else is probed: questions are charged and take a slot.
 func (s *System) probeSuspects(now time.Duration, out *state.Outbox) {
-	for _, id := range sortedKeys(s.groups) {
+	for _, id := range state.SortedKeys(s.groups) {
 		g := s.groups[id]
 		if !g.open || s.m.Stalled[g.leader()] <= g.openAt && s.m.PeerStalled[g.leader()] <= g.openAt {
 			g.silentSince = 0
@@ -347,7 +347,7 @@
 			}
 		}
 	}
-	for _, id := range sortedKeys(s.hosts) {
+	for _, id := range state.SortedKeys(s.hosts) {
 		if h := s.hosts[id]; h.dead && now-h.probedAt > deadProbe && (h.row != nil || now-h.deadAt < standTime) {
 			s.probe(now, h, out)
 		}
--- a/pkg/core/formation/host.go
+++ b/pkg/core/formation/host.go
@@ -58,7 +58,6 @@
 	failures int
 	dead     bool
 	deadAt   time.Duration
-	pace     float64
 	plan     *plan
 	// last is the group that the host was last seen in.
 	last *group
@@ -184,7 +183,6 @@
 		h.dead = false
 		out.Log(event.HostResponsive, slog.String("host", string(h.id)))
 	}
-	h.pace = in.Pace
 	switch {
 	case in.Born != 0 && h.born != 0 && in.Born != h.born:
 		// Its entry is of an earlier life, or of a later one than the answer.
--- a/pkg/core/formation/lease.go
+++ b/pkg/core/formation/lease.go
@@ -172,7 +172,7 @@
 	s.lease.held = false
 	s.setHeldUntil(0)
 	s.lease.tryAt = now + renewRetry
-	for _, id := range sortedKeys(s.plans) {
+	for _, id := range state.SortedKeys(s.plans) {
 		delete(s.plans, id)
 	}
 	for _, h := range s.hosts {
--- a/pkg/core/formation/plan.go
+++ b/pkg/core/formation/plan.go
@@ -110,7 +110,7 @@
 	isLargest := !slices.ContainsFunc(models, func(o state.ModelProfile) bool { return o.Size > m.Size })
 	var best choice
 	bestFree := 0
-	for _, domain := range sortedKeys(byDomain) {
+	for _, domain := range state.SortedKeys(byDomain) {
 		hosts := byDomain[domain]
 		if len(hosts) < m.Size {
 			continue
@@ -255,7 +255,7 @@
 // freeHosts returns the hosts of a service that may join a group, in order.
 func (s *System) freeHosts(now time.Duration, service string) []freeHost {
 	var free []freeHost
-	for _, id := range sortedKeys(s.hosts) {
+	for _, id := range state.SortedKeys(s.hosts) {
 		h := s.hosts[id]
 		if !s.isFree(now, h, service) || s.m.Evacuated[h.dc] {
 			continue
--- a/pkg/core/formation/rig_test.go
+++ b/pkg/core/formation/rig_test.go
@@ -110,7 +110,7 @@
 func (r *rig) run(d time.Duration) {
 	for end := r.now + d; r.now < end; {
 		r.now += state.TickPeriod
-		for _, id := range sortedKeys(r.hosts) {
+		for _, id := range state.SortedKeys(r.hosts) {
 			r.hostTime(r.hosts[id])
 		}
 		if !r.listStale {
--- a/pkg/core/formation/stage.go
+++ b/pkg/core/formation/stage.go
@@ -37,7 +37,7 @@
 		byDomain[f.domain] = append(byDomain[f.domain], f)
 	}
 	var loads []load
-	for _, domain := range sortedKeys(byDomain) {
+	for _, domain := range state.SortedKeys(byDomain) {
 		loads = append(loads, chooseStaging(byDomain[domain], engine.Models, live, needs)...)
 	}
 	// Loads at once are few, so what soonest makes up a group comes first.
@@ -45,7 +45,7 @@
 	for _, l := range loads {
 		running += s.stage(now, engine, s.hosts[l.host], l.model, running, out)
 	}
-	for _, id := range sortedKeys(s.hosts) {
+	for _, id := range state.SortedKeys(s.hosts) {
 		h := s.hosts[id]
 		if h.row == nil || h.row.Service != service.Name || h.last == nil || !h.last.open || h.last.retiring ||
 			h.row.Membership.Group != h.last.id || h.plan != nil || h.row.Draining || h.dead || running >= memberLoads(engine) && s.m.TrafficSeen {
--- a/pkg/core/inventory/hub.go
+++ b/pkg/core/inventory/hub.go
@@ -153,7 +153,7 @@
 	rows.Revision = s.m.Tables[rows.Table].Revision
 	lease := s.t.Leases.Get(state.FormationLeaseName)
 	everywhere := from == "" && rows.Table == state.InstanceTable && lease != nil && lease.HeldUntil > 0
-	for _, id := range sortedKeys(s.linked) {
+	for _, id := range state.SortedKeys(s.linked) {
 		row := s.m.Nodes.Get(id)
 		if id == from || row == nil || from != "" && s.hubs[id] || !everywhere && row.Entry.DataCentre != s.t.Self.DataCentre {
 			continue
@@ -169,8 +169,8 @@
 }
 
 func (s *System) witnesses(which func(state.NodeID) bool) []witness {
-	all := []witness{{s.ownLoads(), sortedKeys(s.m.Stalled)}}
-	for _, id := range sortedKeys(s.bulletins) {
+	all := []witness{{s.ownLoads(), state.SortedKeys(s.m.Stalled)}}
+	for _, id := range state.SortedKeys(s.bulletins) {
 		if b := s.bulletins[id]; !b.Total && which(id) {
 			all = append(all, witness{b.Loads, b.Stalled})
 		}
@@ -235,7 +235,7 @@
 		}
 	}
 	out := make([]state.TargetLoad, 0, len(byTarget))
-	for _, id := range sortedKeys(byTarget) {
+	for _, id := range state.SortedKeys(byTarget) {
 		out = append(out, *byTarget[id])
 	}
 	return out
@@ -271,7 +271,7 @@
 
 func demandList(demand map[string]float64) []state.ModelDemand {
 	var out []state.ModelDemand
-	for _, model := range sortedKeys(demand) {
+	for _, model := range state.SortedKeys(demand) {
 		out = append(out, state.ModelDemand{Model: model, Work: demand[model]})
 	}
 	return out
@@ -285,5 +285,5 @@
 	for id := range b {
 		all[id] = true
 	}
-	return sortedKeys(all)
+	return state.SortedKeys(all)
 }
--- a/pkg/core/inventory/peers.go
+++ b/pkg/core/inventory/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"slices"
 	"time"
 
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
@@ -77,7 +76,6 @@
 		out.Log(event.RowsRelayed, slog.Int("table", int(rows.Table)), slog.String("peer", string(from)),
 			slog.Uint64("revision", rows.Revision))
 	}
-	view.RelayedAt = now
 	since := view.Revision
 	s.apply(now, rows, out)
 	view.Revision = max(view.Revision, rows.Revision)
@@ -119,10 +117,10 @@
 	s.forgetWords(now)
 	s.findSilent(now)
 	own := s.newBulletin(now)
-	own.Loads, own.Stalled = s.ownLoads(), sortedKeys(s.m.Stalled)
+	own.Loads, own.Stalled = s.ownLoads(), state.SortedKeys(s.m.Stalled)
 	own.Demand = demandList(s.m.Demand)
 	if s.hubs == nil {
-		for _, id := range sortedKeys(s.linked) {
+		for _, id := range state.SortedKeys(s.linked) {
 			out.Add(state.SendPeer{To: id, Message: state.Message{Bulletin: own}})
 		}
 		return
@@ -141,7 +139,7 @@
 	forHubs, forLeaves := *own, *own
 	part, total := [][]state.TargetLoad{own.Loads}, [][]state.TargetLoad{own.Loads}
 	demand := []map[string]float64{s.m.Demand}
-	for _, id := range sortedKeys(s.m.PeerLoads) {
+	for _, id := range state.SortedKeys(s.m.PeerLoads) {
 		total = append(total, s.m.PeerLoads[id])
 		if s.isLeaf(id) {
 			part = append(part, s.m.PeerLoads[id])
@@ -149,10 +147,10 @@
 		}
 	}
 	forHubs.Loads, forHubs.Demand = sum(part), demandList(sumDemand(demand))
-	forHubs.Stalled = sortedKeys(unanimous(s.witnesses(s.isLeaf)))
+	forHubs.Stalled = state.SortedKeys(unanimous(s.witnesses(s.isLeaf)))
 	forLeaves.Loads, forLeaves.Demand, forLeaves.Total = sum(total), nil, true
 	forLeaves.Stalled = union(s.m.Stalled, s.m.PeerStalled)
-	for _, id := range sortedKeys(s.linked) {
+	for _, id := range state.SortedKeys(s.linked) {
 		switch {
 		case s.hubs[id]:
 			out.Add(state.SendPeer{To: id, Message: state.Message{Bulletin: &forHubs}})
@@ -170,7 +168,7 @@
 	b.EvidenceAge = s.m.Tables[state.OperatorTable].Age(now)
 	if now >= s.nextAlive {
 		s.nextAlive = now + aliveFor/3
-		for _, id := range sortedKeys(s.m.Heard) {
+		for _, id := range state.SortedKeys(s.m.Heard) {
 			if now-s.m.Heard[id] < heardFor {
 				b.Alive = append(b.Alive, id)
 			}
@@ -207,7 +205,7 @@
 
 func (s *System) ownLoads() []state.TargetLoad {
 	var loads []state.TargetLoad
-	for _, id := range sortedKeys(s.m.Loads) {
+	for _, id := range state.SortedKeys(s.m.Loads) {
 		if l := s.m.Loads[id]; l.Running != 0 || l.Waiting != 0 {
 			loads = append(loads, *l)
 		}
@@ -220,7 +218,7 @@
 func (s *System) askPeers(now time.Duration, out *state.Outbox) {
 	for i := range s.m.Tables {
 		best, from := s.m.Tables[i].Revision, state.NodeID("")
-		for _, id := range sortedKeys(s.bulletins) {
+		for _, id := range state.SortedKeys(s.bulletins) {
 			if b := s.bulletins[id]; i < len(b.Revisions) && b.Revisions[i] > best {
 				best, from = b.Revisions[i], id
 			}
@@ -251,7 +249,7 @@
 		if s.m.Catalogue != nil {
 			out.Rows = append(out.Rows, state.SeenRow{Key: "config", Revision: out.Revision, Catalogue: s.m.Catalogue})
 		}
-		for _, dc := range sortedKeys(s.m.Evacuated) {
+		for _, dc := range state.SortedKeys(s.m.Evacuated) {
 			out.Rows = append(out.Rows, state.SeenRow{Key: evacuationKey(dc), Revision: out.Revision, Evacuated: dc})
 		}
 	case state.InstanceTable:
@@ -294,12 +292,3 @@
 		out.Log(event.NodeRemoved, slog.String("node", string(id)))
 	}
 }
-
-func sortedKeys[K ~string, V any](m map[K]V) []K {
-	keys := make([]K, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/pkg/core/state/managed.go
+++ b/pkg/core/state/managed.go
@@ -94,8 +94,6 @@
 	// that of the last call that it did not. Negative means never.
 	SeenAt   time.Duration
 	FailedAt time.Duration
-	// RelayedAt is when a peer last passed the table on.
-	RelayedAt time.Duration
 }
 
 // Age returns the age of the last answer of the store, or a negative number
--- a/pkg/scenario/attempt.go
+++ b/pkg/scenario/attempt.go
@@ -337,7 +337,7 @@
 // sortedGenerations returns all generations in the order of their ids.
 func (w *World) sortedGenerations() []*generation {
 	list := make([]*generation, 0, len(w.generations))
-	for _, id := range sortedKeys(w.generations) {
+	for _, id := range state.SortedKeys(w.generations) {
 		list = append(list, w.generations[id])
 	}
 	return list
--- a/pkg/scenario/checks.go
+++ b/pkg/scenario/checks.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -149,7 +148,7 @@
 
 func (c *Checks) hostsDisjoint() {
 	owner := map[state.HostID]state.GroupID{}
-	for _, id := range sortedKeys(c.groups) {
+	for _, id := range state.SortedKeys(c.groups) {
 		for _, m := range c.groups[id].Members {
 			if other, taken := owner[m]; taken {
 				c.breach("I2", "host %s is in groups %s and %s", m, other, id)
@@ -333,7 +332,7 @@
 
 // observe keeps since when members have not served.
 func (c *Checks) observe() {
-	for _, id := range sortedKeys(c.groups) {
+	for _, id := range state.SortedKeys(c.groups) {
 		c.observeGroup(id)
 	}
 }
@@ -371,5 +370,3 @@
 	e := w.Engine(host)
 	return e != nil && e.Alive && !e.Paused && e.Answer.Phase == state.PhaseReady && e.Answer.Group == group
 }
-
-func sortedKeys[K ~string, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
