Order nothing that rests on an entry behind the host's own report

Cause: a new holder of the formation lease plans with hosts whose entries do not yet show the group that the earlier holder put them into. The order's count comes from the host's report, which names that group, but only the count was taken from it: the join was accepted and the host was in two groups.

Ruled out: the fences of the hosts (the order has the higher one) and the counts (taken from the report that follows the first join).

Now the report's group must be the listed one, or that of the plan, before its count is used, and a group being formed is given up when a member turns out to serve elsewhere.

--- a/pkg/core/formation/formation.go
+++ b/pkg/core/formation/formation.go
@@ -161,6 +161,11 @@
 			return
 		}
 		if !p.joined[id] {
+			if h.last != nil && h.last.id != p.id && !s.isOver(now, h.last) {
+				// Its entry was behind when the group was planned.
+				s.abandon(now, p, "member serves in another group", out)
+				return
+			}
 			s.order(now, h, state.HostOrder{
 				Operation: state.HostJoin, Group: p.id, Epoch: p.epoch, Model: p.model.Name, Members: p.members,
 			}, out)
--- a/pkg/core/formation/formation_test.go
+++ b/pkg/core/formation/formation_test.go
@@ -267,3 +267,35 @@
 	}
 	t.Fatal("the leader was not told to leave")
 }
+
+// TestHostWhoseListEntryIsBehind guards against a host in two groups: an earlier
+// holder of the lease has formed a group that the list of this node does not show
+// yet. The host's report, which an order needs anyway, tells of it.
+func TestHostWhoseListEntryIsBehind(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t)
+	r.startTraffic()
+	leader := r.hosts[r.memberOf(large, 0)].row.Membership
+	var members []state.HostID
+	for _, id := range state.SortedKeys(r.hosts) {
+		h := r.hosts[id]
+		if h.row.Membership.Group != leader.Group {
+			continue
+		}
+		members = append(members, id)
+		behind := h.row
+		behind.Membership = state.Membership{}
+		r.revision++
+		behind.Revision = r.revision
+		r.tables.Managed.Instances.Put(id, &behind)
+		r.system.hosts[id].sequenced = false
+	}
+	r.run(time.Second)
+	g.Expect(r.violations).To(gomega.BeEmpty())
+	for _, id := range members {
+		r.publish(r.hosts[id])
+	}
+	r.run(time.Second)
+	g.Expect(r.violations).To(gomega.BeEmpty())
+	g.Expect(r.hosts[members[0]].row.Membership).To(gomega.Equal(leader))
+}
--- a/pkg/core/formation/host.go
+++ b/pkg/core/formation/host.go
@@ -25,6 +25,9 @@
 	// restartPause is for how long a host gets no order whose answer and entry are
 	// of different lives. Entries follow a restart within a heartbeat of 1.2 s.
 	restartPause = 300 * time.Millisecond
+	// listPause is for how long a host gets no order whose entry is behind its
+	// report. Entries follow a change within 150 ms, by which the feed gathers.
+	listPause = 150 * time.Millisecond
 	// doubtTime is for how long a host whose answer to an order was lost gets no
 	// other order. The order can be carried out later only while the host has
 	// begun no other, so the next order ends the doubt.
@@ -187,6 +190,8 @@
 	case in.Born != 0 && h.born != 0 && in.Born != h.born:
 		// Its entry is of an earlier life, or of a later one than the answer.
 		h.waitUntil = now + restartPause
+	case h.isListedBehind(in.Membership):
+		h.sequenced, h.waitUntil = false, now+listPause
 	case h.sent == nil:
 		h.sequence, h.sequenced = in.Sequence, true
 	}
@@ -197,6 +202,17 @@
 	}
 }
 
+// isListedBehind reports whether the host's entry does not show the group that
+// the host has joined or left. What rests on such an entry must not be ordered:
+// the host may have been put into a serving group by an earlier holder of the
+// lease.
+func (h *host) isListedBehind(m state.Membership) bool {
+	if h.row == nil || h.row.Membership.Group == m.Group && h.row.Membership.Epoch == m.Epoch {
+		return false
+	}
+	return h.plan == nil || h.plan.id != m.Group || h.plan.epoch != m.Epoch
+}
+
 // ledGroupsEnd notes that the process that led groups is gone.
 func (s *System) ledGroupsEnd(h *host) {
 	for _, g := range s.groups {
