Mend groups while the store is down, by the reports of hosts

Cause: in an outage of the store the formation lease lapses after 2.2 s and the list of instances stands still, so no group was mended until the store was back.

Now the holder goes on while no node that it hears has an answer of the store and it hears half of its peers. It asks hosts for reports, which replace the rows of the list at all nodes until the next write of the host. A holder that shuts down hands the lease over.

--- a/pkg/core/formation/formation.go
+++ b/pkg/core/formation/formation.go
@@ -86,6 +86,10 @@
 	case state.HostOrderResult:
 		s.answered(now, in, out)
 		act = true
+	case state.PeerMessage:
+		if h := in.Message.LeaseHandover; h != nil {
+			s.handedOver(now, in.From, h, out)
+		}
 	case state.StoreReply:
 		s.leaseReply(now, in, out)
 	case state.Tick:
@@ -99,11 +103,15 @@
 		return
 	}
 	s.observe(now)
-	if s.holds(now) && s.isListFresh(now) {
+	if s.holds(now) && (s.isListFresh(now) || s.isOutage(now)) {
 		s.act(now, out)
 	}
 }
 
+// isOutage reports whether the store is down for all nodes that this one hears.
+// The reports of hosts then take the place of the list of instances.
+func (s *System) isOutage(now time.Duration) bool { return now < s.m.OutageUntil }
+
 // isListFresh reports whether the list of instances is recent enough to act on.
 // The feed is asked again each second.
 func (s *System) isListFresh(now time.Duration) bool {
@@ -114,6 +122,9 @@
 // act does what the state of the hosts asks for.
 func (s *System) act(now time.Duration, out *state.Outbox) {
 	s.probeSuspects(now, out)
+	if s.isOutage(now) {
+		s.probeChanging(now, out)
+	}
 	for _, id := range state.SortedKeys(s.plans) {
 		s.advance(now, s.plans[id], out)
 	}
--- a/pkg/core/formation/formation_test.go
+++ b/pkg/core/formation/formation_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/apricotgrade/apricotgrade/pkg/core/inventory"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 )
 
@@ -299,3 +300,111 @@
 	g.Expect(r.violations).To(gomega.BeEmpty())
 	g.Expect(r.hosts[members[0]].row.Membership).To(gomega.Equal(leader))
 }
+
+// startOutage lets the store fall silent for all nodes.
+func (r *rig) startOutage() {
+	r.inventory = inventory.New(r.tables)
+	r.outage = true
+	r.run(leaseTime + time.Second)
+}
+
+// TestGroupsAreMendedInAnOutage guards against survivors that serve nobody until
+// the store answers again: members are lost every 3 s, and outages take 8 s or
+// longer. The holder of the lease goes on by the reports of hosts.
+func TestGroupsAreMendedInAnOutage(t *testing.T) {
+	for _, model := range []string{large, small} {
+		g := gomega.NewWithT(t)
+		r := newRig(t)
+		r.startTraffic()
+		fence := r.system.lease.row.Fence
+		r.startOutage()
+		for range 2 {
+			id := r.memberOf(model, 1)
+			r.lose(id)
+			r.run(4 * time.Second)
+			g.Expect(len(r.idle(r.hosts[id].row.Domain))).To(gomega.BeNumerically("<=", 2), model)
+		}
+		r.outage = false
+		for _, id := range state.SortedKeys(r.hosts) {
+			r.publish(r.hosts[id])
+		}
+		r.run(replyTimeout + time.Second)
+		g.Expect(r.violations).To(gomega.BeEmpty())
+		g.Expect(r.system.lease.row.Fence).To(gomega.Equal(fence))
+		g.Expect(r.system.holds(r.now)).To(gomega.BeTrue())
+	}
+}
+
+// TestHolderStopsWhenAPeerReachesTheStore guards against two holders: the store
+// turns this node away and answers another, which may take the lease.
+func TestHolderStopsWhenAPeerReachesTheStore(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t)
+	r.startTraffic()
+	r.startOutage()
+	g.Expect(r.system.holds(r.now)).To(gomega.BeTrue())
+	r.inventory.Step(r.now, state.PeerLink{Peer: "n2", Up: true}, &state.Outbox{})
+	r.inventory.Step(r.now, state.PeerMessage{From: "n2", Message: state.Message{Bulletin: &state.Bulletin{
+		EvidenceAge: 100 * time.Millisecond, InstancesAge: -1,
+	}}}, &state.Outbox{})
+	r.run(outageEnd)
+	n := len(r.orders)
+	r.lose(r.memberOf(large, 1))
+	r.run(800 * time.Millisecond)
+	g.Expect(r.system.holds(r.now)).To(gomega.BeFalse())
+	g.Expect(r.orders[n:]).To(gomega.BeEmpty())
+}
+
+// outageEnd is how long the verdict on an outage outlives its reasons: two ticks.
+const outageEnd = 2 * state.TickPeriod
+
+// TestLeaseIsHandedOverInAnOutage guards against groups that nobody mends because
+// the holder of the lease was restarted while the store was down: it cannot
+// release the lease there, and nobody could take it.
+func TestLeaseIsHandedOverInAnOutage(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t)
+	r.startTraffic()
+	r.startOutage()
+	r.inventory.Step(r.now, state.PeerLink{Peer: "n2", Up: true}, &state.Outbox{})
+	r.inventory.Step(r.now, state.PeerMessage{From: "n2", Message: state.Message{Bulletin: &state.Bulletin{
+		EvidenceAge: -1, InstancesAge: -1,
+	}}}, &state.Outbox{})
+	r.tables.Draining = true
+	r.run(2 * state.TickPeriod)
+	g.Expect(r.system.holds(r.now)).To(gomega.BeFalse())
+	g.Expect(r.messages).To(gomega.HaveLen(1))
+	handover := r.messages[0].Message.LeaseHandover
+	g.Expect(r.messages[0].To).To(gomega.Equal(state.NodeID("n2")))
+	g.Expect(handover).NotTo(gomega.BeNil())
+
+	// The same node stands for the receiver.
+	r.tables.Draining = false
+	given := r.system.nextEpoch
+	r.system.nextEpoch = 0
+	r.inputs = append(r.inputs, state.PeerMessage{From: "n2", Message: state.Message{LeaseHandover: handover}})
+	r.run(2 * state.TickPeriod)
+	id := r.memberOf(large, 1)
+	r.lose(id)
+	r.run(4 * time.Second)
+	g.Expect(len(r.idle(r.hosts[id].row.Domain))).To(gomega.BeNumerically("<=", 1))
+	g.Expect(r.system.nextEpoch).To(gomega.BeNumerically(">", given))
+	g.Expect(r.violations).To(gomega.BeEmpty())
+
+	// A lease that another node has taken since is not accepted.
+	r.system.lease.held = false
+	r.tables.Managed.Lease.Row.Fence++
+	r.inputs = append(r.inputs, state.PeerMessage{From: "n2", Message: state.Message{LeaseHandover: handover}})
+	r.run(state.TickPeriod)
+	g.Expect(r.system.lease.held).To(gomega.BeFalse())
+}
+
+// TestNextHeard guards against a lease that two nodes hand to each other while
+// both shut down.
+func TestNextHeard(t *testing.T) {
+	g := gomega.NewWithT(t)
+	heard := map[state.NodeID]time.Duration{"n1": 1, "n3": 1}
+	g.Expect(nextHeard(heard, "n2")).To(gomega.Equal(state.NodeID("n3")))
+	g.Expect(nextHeard(heard, "n4")).To(gomega.Equal(state.NodeID("n1")))
+	g.Expect(nextHeard(nil, "n4")).To(gomega.BeEmpty())
+}
--- a/pkg/core/formation/group.go
+++ b/pkg/core/formation/group.go
@@ -323,6 +323,26 @@
 	return nil
 }
 
+// stagingProbe is the period of questions to a host that stages a model in an
+// outage of the store. A load takes 12 s or more.
+const stagingProbe = time.Second
+
+// probeChanging asks the hosts that are about to change, in an outage of the
+// store, when the list of instances does not show it: members of groups that
+// form or end, and hosts that stage a model.
+func (s *System) probeChanging(now time.Duration, out *state.Outbox) {
+	for _, id := range state.SortedKeys(s.hosts) {
+		h := s.hosts[id]
+		switch {
+		case h.row == nil || h.dead:
+		case h.plan != nil, h.last != nil && h.last.retiring && !h.last.released:
+			s.probe(now, h, out)
+		case h.staging != "" && now-h.probedAt > stagingProbe:
+			s.probe(now, h, out)
+		}
+	}
+}
+
 // probeSuspects asks the members of groups that callers' streams show to be
 // silent. Nothing else is probed: questions are charged and take a slot.
 func (s *System) probeSuspects(now time.Duration, out *state.Outbox) {
--- a/pkg/core/formation/host.go
+++ b/pkg/core/formation/host.go
@@ -187,17 +187,17 @@
 		out.Log(event.HostResponsive, slog.String("host", string(h.id)))
 	}
 	switch {
-	case in.Born != 0 && h.born != 0 && in.Born != h.born:
+	case in.State.Born != 0 && h.born != 0 && in.State.Born != h.born:
 		// Its entry is of an earlier life, or of a later one than the answer.
 		h.waitUntil = now + restartPause
-	case h.isListedBehind(in.Membership):
+	case s.isListedBehind(h, in.State.Membership):
 		h.sequenced, h.waitUntil = false, now+listPause
 	case h.sent == nil:
 		h.sequence, h.sequenced = in.Sequence, true
 	}
 	for _, g := range s.groups {
-		if g.leader() == h.id && g.epoch == in.Membership.Epoch && g.id == in.Membership.Group {
-			g.reported, g.reportedAt = in.Membership.Phase, in.SentAt
+		if m := &in.State.Membership; g.leader() == h.id && g.epoch == m.Epoch && g.id == m.Group {
+			g.reported, g.reportedAt = m.Phase, in.SentAt
 		}
 	}
 }
@@ -206,8 +206,9 @@
 // the host has joined or left. What rests on such an entry must not be ordered:
 // the host may have been put into a serving group by an earlier holder of the
 // lease.
-func (h *host) isListedBehind(m state.Membership) bool {
-	if h.row == nil || h.row.Membership.Group == m.Group && h.row.Membership.Epoch == m.Epoch {
+func (s *System) isListedBehind(h *host, m state.Membership) bool {
+	row := s.m.Instances.Get(h.id)
+	if row == nil || row.Membership.Group == m.Group && row.Membership.Epoch == m.Epoch {
 		return false
 	}
 	return h.plan == nil || h.plan.id != m.Group || h.plan.epoch != m.Epoch
--- a/pkg/core/formation/lease.go
+++ b/pkg/core/formation/lease.go
@@ -22,6 +22,14 @@
 	// An old holder that still acts is stopped by the fences of the hosts.
 	takeAfter   = 2500 * time.Millisecond
 	takeUnheard = 1100 * time.Millisecond
+	// renewGrace is for how long after an outage of the store a holder that is heard
+	// may renew its lease before another node takes it. It retries its calls every
+	// 400 ms at most.
+	renewGrace = time.Second
+	// handoverTime is how long a node to which the lease was handed over may take to
+	// find that the store does not answer it either: the longest call of the store
+	// takes 1.6 s.
+	handoverTime = 2 * time.Second
 	// rankDelay keeps the candidates apart in time.
 	rankDelay = 120 * time.Millisecond
 	// maxRank bounds the delay of the last candidates.
@@ -44,10 +52,31 @@
 	taking    bool
 	next      state.LeaseRow
 	tryAt     time.Duration
+	// handedAt is when a peer handed the lease over in an outage of the store.
+	handedAt time.Duration
 }
 
-// holds reports whether this node may give orders.
-func (s *System) holds(now time.Duration) bool { return s.lease.held && now < s.lease.heldUntil }
+// holds reports whether this node may give orders. In an outage of the store the
+// lease cannot be renewed, and nobody else can take it either: its holder goes on
+// while no node that it hears has an answer of the store. Should the store answer
+// a node that it does not hear, the hosts refuse its orders by their fences and
+// counts.
+func (s *System) holds(now time.Duration) bool {
+	return s.lease.held && (now < s.lease.heldUntil || s.isOutage(now))
+}
+
+// isUnanswered reports whether the store has not answered this node's last call
+// for the list of instances.
+func (s *System) isUnanswered() bool {
+	view := &s.m.Tables[state.InstanceTable]
+	return view.FailedAt > view.SeenAt
+}
+
+// isStoreJustBack reports whether the store answers again after an outage for so
+// short a time that the holder of the lease may not have renewed it yet.
+func (s *System) isStoreJustBack(now time.Duration) bool {
+	return s.m.StoreBackAt >= 0 && now-s.m.StoreBackAt < renewGrace
+}
 
 // keepLease renews, takes or releases the lease.
 func (s *System) keepLease(now time.Duration, out *state.Outbox) {
@@ -58,10 +87,15 @@
 	if seen := &s.m.Lease; l.held && seen.Row.Fence > l.row.Fence {
 		s.lost(now, "a higher fence was seen", out)
 	}
-	if l.held && now >= l.heldUntil {
+	if s.t.Draining && l.held && now >= l.heldUntil && s.isOutage(now) {
+		s.handOver(now, out)
+	}
+	if l.held && now >= l.heldUntil && !s.isUnanswered() && !s.isStoreJustBack(now) && now-l.handedAt >= handoverTime {
 		s.lost(now, "no renewal was answered in time", out)
 	}
-	if l.call != 0 && now-l.callAt < replyTimeout || now < l.tryAt {
+	// A call from before the store's return is not waited for. Should it still be
+	// carried out, the next one finds this node's own row.
+	if l.call != 0 && now-l.callAt < replyTimeout && l.callAt >= s.m.StoreBackAt || now < l.tryAt {
 		return
 	}
 	switch {
@@ -79,6 +113,54 @@
 	}
 }
 
+// handOver gives the lease to the next peer by id that is heard. Should the
+// message be lost, no group is mended until the store is back.
+func (s *System) handOver(now time.Duration, out *state.Outbox) {
+	to := nextHeard(s.m.Heard, s.t.Self.ID)
+	if to == "" {
+		return
+	}
+	l := &s.lease
+	out.Add(state.SendPeer{To: to, Message: state.Message{LeaseHandover: &state.LeaseHandover{
+		Fence: l.row.Fence, Renewal: l.row.Renewal, Revision: l.revision, Epochs: s.nextEpoch,
+	}}})
+	s.lost(now, "handed over to "+string(to), out)
+}
+
+// nextHeard returns the peer that follows a node in the order of ids, the first
+// one after the last. A lease that is handed on by nodes that shut down at the
+// same time comes by each of them once.
+func nextHeard(heard map[state.NodeID]time.Duration, self state.NodeID) state.NodeID {
+	ids := state.SortedKeys(heard)
+	if len(ids) == 0 {
+		return ""
+	}
+	for _, id := range ids {
+		if id > self {
+			return id
+		}
+	}
+	return ids[0]
+}
+
+// handedOver takes the lease from a holder that shuts down in an outage of the
+// store. This node acts on it once it finds the outage itself, and renews it when
+// the store is back.
+func (s *System) handedOver(now time.Duration, from state.NodeID, in *state.LeaseHandover, out *state.Outbox) {
+	l := &s.lease
+	if l.held || in.Fence < s.m.Lease.Row.Fence || in.Revision < s.m.Lease.Revision {
+		return
+	}
+	l.held, l.takenAt, l.handedAt, l.revision, l.call = true, now, now, in.Revision, 0
+	l.row = state.LeaseRow{
+		Holder: s.t.Self.ID, Incarnation: s.t.Self.Incarnation, Fence: in.Fence, Renewal: in.Renewal, Duration: leaseTime,
+	}
+	s.nextEpoch = max(s.nextEpoch, in.Epochs)
+	s.setHeldUntil(now)
+	s.forgetOrders()
+	out.Log(event.FormationLeaseTaken, slog.Uint64("fence", uint64(in.Fence)), slog.String("from", string(from)))
+}
+
 // mayTake reports whether the lease is free as far as this node can see. The
 // write has the row's revision as its condition, so a wrong guess changes
 // nothing.
@@ -87,6 +169,9 @@
 	if s.m.Catalogue == nil || !s.t.Config.Fresh || !s.m.Following {
 		return false
 	}
+	if _, heard := s.m.Heard[seen.Row.Holder]; heard && s.isStoreJustBack(now) {
+		return false
+	}
 	if seen.Revision == 0 || seen.Row.Holder == "" || seen.Row.Holder == s.t.Self.ID {
 		return true
 	}
--- a/pkg/core/formation/rig_test.go
+++ b/pkg/core/formation/rig_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/apricotgrade/apricotgrade/pkg/core/inventory"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 )
 
@@ -46,8 +47,13 @@
 	orders   []state.HostOrder
 	reports  int
 	inputs   []state.Input
+	messages []state.SendPeer
 	// listStale stops the feed of the list of instances.
 	listStale bool
+	// inventory, where set, takes the inputs before the system, as in a node.
+	inventory *inventory.System
+	// outage makes the store answer nothing.
+	outage, wasOut bool
 	// violations are breaches of what must hold for hosts and groups.
 	violations []string
 }
@@ -94,6 +100,9 @@
 // publish puts a host's row into the node's list.
 func (r *rig) publish(h *fakeHost) {
 	r.revision++
+	if r.outage {
+		return
+	}
 	if !h.listed {
 		r.tables.Managed.Instances.Delete(h.row.ID)
 	} else {
@@ -113,14 +122,23 @@
 		for _, id := range state.SortedKeys(r.hosts) {
 			r.hostTime(r.hosts[id])
 		}
-		if !r.listStale {
+		if r.outage {
+			r.tables.Managed.Tables[state.InstanceTable].FailedAt = r.now
+		} else if !r.listStale {
 			r.tables.Managed.Tables[state.InstanceTable].SeenAt = r.now
 		}
+		if r.wasOut && !r.outage {
+			r.tables.Managed.StoreBackAt = r.now
+		}
+		r.wasOut = r.outage
 		r.inputs = append(r.inputs, state.Tick{})
 		for len(r.inputs) > 0 {
 			in := r.inputs[0]
 			r.inputs = r.inputs[1:]
 			var out state.Outbox
+			if r.inventory != nil {
+				r.inventory.Step(r.now, in, &state.Outbox{})
+			}
 			r.system.Step(r.now, in, &out)
 			for _, o := range out.Outputs {
 				r.carryOut(o)
@@ -140,10 +158,15 @@
 		r.report(out)
 	case state.HostOrder:
 		r.order(out)
+	case state.SendPeer:
+		r.messages = append(r.messages, out)
 	}
 }
 
 func (r *rig) transact(req state.StoreRequest) {
+	if r.outage {
+		return
+	}
 	reply := state.StoreReply{ID: req.ID}
 	m := r.tables.Managed
 	if c := req.Transact.Conditions; len(c) == 1 && c[0].Revision != m.Lease.Revision {
@@ -168,7 +191,10 @@
 	case h == nil || h.refusing:
 		out.Refused = true
 	case !h.silent:
-		out.OK, out.Sequence, out.Born, out.Membership = true, h.sequence, h.row.Born, h.row.Membership
+		out.OK, out.Sequence = true, h.sequence
+		out.State = state.HostState{
+			Host: in.Host, Born: h.row.Born, Model: h.row.Model, Staged: h.row.Staged, Membership: h.row.Membership,
+		}
 	}
 	r.inputs = append(r.inputs, out)
 }
--- a/pkg/core/inventory/inventory.go
+++ b/pkg/core/inventory/inventory.go
@@ -55,9 +55,9 @@
 
 	// missing holds the instances whose entries lapsed in an outage of the store.
 	missing *state.DueQueue[state.HostID]
-	// outageEnd is when the store answered first after its last failure.
-	outageEnd   time.Duration
-	failing     bool
+	failing bool
+	// outage is the last verdict of findOutage.
+	outage      bool
 	nextBeat    time.Duration
 	nextAlive   time.Duration
 	nextAsk     [3]time.Duration
@@ -82,7 +82,7 @@
 // New returns the inventory system.
 func New(t *state.Tables) *System {
 	return &System{
-		t: t, m: t.Managed, missing: state.NewDueQueue[state.HostID](), outageEnd: -returnTime,
+		t: t, m: t.Managed, missing: state.NewDueQueue[state.HostID](),
 		linked: map[state.NodeID]bool{}, bulletins: map[state.NodeID]*state.Bulletin{},
 		alive: map[state.NodeID]time.Duration{},
 	}
@@ -97,6 +97,8 @@
 		s.link(now, in, out)
 	case state.PeerMessage:
 		s.message(now, in, out)
+	case state.HostReport:
+		s.reported(now, in, out)
 	case state.StoreReply:
 		if s.t.OwnsReply(name, in) && in.ID == s.registering {
 			s.registering = 0
@@ -120,7 +122,7 @@
 	view.SeenAt = max(view.SeenAt, in.SentAt)
 	defer s.judge(now, out)
 	if in.Table == state.InstanceTable && s.failing {
-		s.failing, s.outageEnd = false, now
+		s.failing, s.m.StoreBackAt = false, now
 	}
 	since := view.Revision
 	s.apply(now, in, out)
@@ -256,7 +258,7 @@
 // removeInstance drops an instance. One whose entry lapsed in an outage of the
 // store has a time to come back, since it could not renew it.
 func (s *System) removeInstance(now time.Duration, id state.HostID) {
-	since := max(s.outageEnd, s.m.Tables[state.InstanceTable].FailedAt)
+	since := max(s.m.StoreBackAt, s.m.Tables[state.InstanceTable].FailedAt)
 	if since >= 0 && now-since < outageTime {
 		if !s.missing.Has(id) {
 			s.missing.Schedule(id, since+returnTime)
@@ -273,6 +275,7 @@
 		s.m.Changed++
 	}
 	s.register(now, out)
+	s.findOutage(now, out)
 	s.judge(now, out)
 	s.follow(now, out)
 	if now >= s.nextBeat {
--- /dev/null
+++ b/pkg/core/inventory/outage_test.go
@@ -0,0 +1,108 @@
+package inventory
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+)
+
+// fail lets the store leave the calls for all tables unanswered.
+func (r *rig) fail() {
+	for _, table := range []state.TableKind{state.OperatorTable, state.InstanceTable, state.NodeTable} {
+		r.step(state.RowsSeen{Table: table, SentAt: r.now, Failed: true})
+	}
+}
+
+// TestOutage guards against a node that takes itself for cut off with all others,
+// while one of them has the store's answers, and against one that hears too few
+// peers to tell.
+func TestOutage(t *testing.T) {
+	silent, answered := state.Bulletin{EvidenceAge: -1, InstancesAge: -1}, state.Bulletin{EvidenceAge: time.Second, InstancesAge: -1}
+	for _, c := range []struct {
+		name   string
+		heard  []state.Bulletin
+		outage bool
+	}{
+		{"all silent", []state.Bulletin{silent, silent, silent}, true},
+		{"one peer is answered", []state.Bulletin{silent, silent, answered}, false},
+		{"old answers", []state.Bulletin{{EvidenceAge: 5 * time.Second, InstancesAge: 3 * time.Second}, silent, silent}, true},
+		{"half of the peers heard", []state.Bulletin{silent, silent}, true},
+		{"too few peers heard", []state.Bulletin{silent}, false},
+	} {
+		g := gomega.NewWithT(t)
+		r := newRig("n00", 5)
+		r.after(evidenceFor)
+		r.fail()
+		for i, b := range c.heard {
+			r.hear(state.NodeID("n0"+string(rune('1'+i))), b)
+		}
+		r.after(state.TickPeriod)
+		g.Expect(r.now < r.m.OutageUntil).To(gomega.Equal(c.outage), c.name)
+	}
+}
+
+// TestOutageEndsWithAnAnswer guards against orders that rest on the outage after
+// the store has answered this node, and after a pause of the process.
+func TestOutageEndsWithAnAnswer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig("n00", 1)
+	r.after(evidenceFor)
+	r.fail()
+	r.after(state.TickPeriod)
+	g.Expect(r.now).To(gomega.BeNumerically("<", r.m.OutageUntil))
+	g.Expect(r.now + time.Second).To(gomega.BeNumerically(">", r.m.OutageUntil))
+	r.changes(state.InstanceTable, 110, instance("i1", 110))
+	r.after(2 * outageFor)
+	g.Expect(r.now).To(gomega.BeNumerically(">=", r.m.OutageUntil))
+	g.Expect(r.m.StoreBackAt).To(gomega.BeNumerically(">", 0))
+}
+
+// TestReportsReplaceTheListInAnOutage guards against nodes that send nothing to a
+// group that was formed while the store was down, and against a report that
+// outlives what the store says later.
+func TestReportsReplaceTheListInAnOutage(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig("n00", 2)
+	open := state.HostState{Host: "i1", Model: "m", Membership: state.Membership{Group: "g1", Epoch: 7, Phase: state.MemberOpen}}
+	r.after(state.TickPeriod)
+	r.step(state.HostReport{Host: "i1", OK: true, SentAt: r.now, State: open})
+	g.Expect(r.m.Instances.Get("i1").Membership.Group).To(gomega.BeEmpty(), "the store answers")
+
+	r.after(evidenceFor)
+	r.fail()
+	r.hear("n01", state.Bulletin{EvidenceAge: -1, InstancesAge: -1})
+	r.after(state.TickPeriod)
+	old := r.now - 10*time.Second
+	r.step(state.HostReport{Host: "i1", OK: true, SentAt: old, State: open})
+	g.Expect(r.m.Instances.Get("i1").Membership.Group).To(gomega.BeEmpty(), "asked before the entry was seen")
+	other := open
+	other.Born = 2
+	r.step(state.HostReport{Host: "i1", OK: true, SentAt: r.now, State: other})
+	g.Expect(r.m.Instances.Get("i1").Membership.Group).To(gomega.BeEmpty(), "another life")
+	r.step(state.HostReport{Host: "i1", OK: true, SentAt: r.now, State: open})
+	g.Expect(r.m.Instances.Get("i1").Membership).To(gomega.Equal(open.Membership))
+	sent := r.sent("n01")
+	g.Expect(sent[len(sent)-1].HostState).To(gomega.Equal(&open))
+
+	r.now += time.Second
+	r.changes(state.InstanceTable, 120, instance("i1", 120))
+	g.Expect(r.m.Instances.Get("i1").Membership.Group).To(gomega.BeEmpty())
+}
+
+// TestReportFromAPeer guards against a peer's word on a host that replaces what
+// the store has just said to this node.
+func TestReportFromAPeer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig("n00", 2)
+	open := state.HostState{Host: "i1", Model: "m", Membership: state.Membership{Group: "g1", Epoch: 7, Phase: state.MemberOpen}}
+	in := state.PeerMessage{From: "n01", Message: state.Message{HostState: &open}}
+	r.after(state.TickPeriod)
+	r.step(in)
+	g.Expect(r.m.Instances.Get("i1").Membership.Group).To(gomega.BeEmpty())
+	r.after(evidenceFor)
+	r.step(in)
+	g.Expect(r.m.Instances.Get("i1").Membership).To(gomega.Equal(open.Membership))
+}
--- a/pkg/core/inventory/peers.go
+++ b/pkg/core/inventory/peers.go
@@ -59,6 +59,8 @@
 		}
 	case m.Rows != nil:
 		s.relayed(now, in.From, *m.Rows, out)
+	case m.HostState != nil:
+		s.relayedHostState(now, in.From, m.HostState, out)
 	}
 }
 
--- a/pkg/core/state/hostorder.go
+++ b/pkg/core/state/hostorder.go
@@ -83,8 +83,18 @@
 	Refused  bool
 	Replaced bool
 	// Sequence is the number of orders that the host has begun in this life.
-	Sequence   uint64
-	Born       int64
-	Pace       float64
-	Membership Membership
+	Sequence uint64
+	State    HostState
+}
+
+// HostState is what a host says of itself in a report. The list of instances
+// says the same after the host's next write to the store.
+type HostState struct {
+	Host HostID `cbor:"1,keyasint"`
+	// Born tells the lives of one id apart; 0 when the host does not say.
+	Born int64 `cbor:"2,keyasint,omitempty"`
+	// Model is the model that the host has loaded, Staged those on it.
+	Model      string     `cbor:"3,keyasint,omitempty"`
+	Staged     []string   `cbor:"4,keyasint,omitempty"`
+	Membership Membership `cbor:"5,keyasint"`
 }
--- a/pkg/core/state/instance.go
+++ b/pkg/core/state/instance.go
@@ -24,6 +24,9 @@
 	Revision   uint64     `cbor:"13,keyasint"`
 	// SeenAt is when this node first saw this revision. It is not passed on.
 	SeenAt time.Duration `cbor:"-"`
+	// ReportedAt is when the host was asked for the report by which this node has
+	// changed the row in an outage of the store; 0 for a row as it was stored.
+	ReportedAt time.Duration `cbor:"-"`
 }
 
 // MemberPhase is the phase of a host in its replica group.
--- a/pkg/core/state/managed.go
+++ b/pkg/core/state/managed.go
@@ -37,6 +37,11 @@
 	Loads map[HostID]*TargetLoad
 	// PeerLoads holds the counts of each peer. Written by the inventory system.
 	PeerLoads map[NodeID][]TargetLoad
+	// OutageUntil is until when this node may take the store to be down for all
+	// nodes that it hears; StoreBackAt is when the list of instances was answered
+	// first after calls that were not. Written by the inventory system.
+	OutageUntil time.Duration
+	StoreBackAt time.Duration
 	// Changed counts changes of what the dispatch system builds its targets from.
 	Changed uint64
 	// Following is whether this node follows the store's tables itself. Written by
@@ -62,7 +67,7 @@
 		Nodes: NewTable[NodeID, RegisteredNode](), Stalled: map[HostID]time.Duration{},
 		PeerStalled: map[HostID]time.Duration{}, Silent: map[HostID]time.Duration{}, Loads: map[HostID]*TargetLoad{},
 		PeerLoads: map[NodeID][]TargetLoad{}, Heard: map[NodeID]time.Duration{},
-		Demand: map[string]float64{}, PeerDemand: map[NodeID]map[string]float64{},
+		StoreBackAt: -1, Demand: map[string]float64{}, PeerDemand: map[NodeID]map[string]float64{},
 	}
 	for i := range m.Tables {
 		m.Tables[i].SeenAt, m.Tables[i].FailedAt = -1, -1
--- a/pkg/core/state/message.go
+++ b/pkg/core/state/message.go
@@ -22,6 +22,19 @@
 	Bulletin       *Bulletin       `cbor:"12,keyasint,omitempty"`
 	RowsRequest    *RowsRequest    `cbor:"13,keyasint,omitempty"`
 	Rows           *RowsSeen       `cbor:"14,keyasint,omitempty"`
+	HostState      *HostState      `cbor:"15,keyasint,omitempty"`
+	LeaseHandover  *LeaseHandover  `cbor:"16,keyasint,omitempty"`
+}
+
+// LeaseHandover gives the formation lease to a peer in an outage of the store,
+// when the holder shuts down and cannot release it there. The sender gives no
+// orders any more.
+type LeaseHandover struct {
+	Fence    Fence  `cbor:"1,keyasint"`
+	Renewal  uint64 `cbor:"2,keyasint"`
+	Revision uint64 `cbor:"3,keyasint"`
+	// Epochs is the number of epochs that were given out under this fence.
+	Epochs uint64 `cbor:"4,keyasint"`
 }
 
 // GroupRequest asks for a GroupNotice of each replica group that the peer
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -30,6 +30,8 @@
 	NodeIsolated    ID = 1015
 	NodeConnected   ID = 1016
 	StoreFollowed   ID = 1017
+	OutageBegun     ID = 1018
+	OutageEnded     ID = 1019
 )
 
 // Events of peers: 1100 to 1199.
@@ -137,6 +139,8 @@
 	{NodeIsolated, Warn, "neither the platform's store nor a peer reached, no new work is taken"},
 	{NodeConnected, Info, "platform's store or a peer reached again"},
 	{StoreFollowed, Info, "following of the store's tables changed"},
+	{OutageBegun, Warn, "store answers no node that is heard"},
+	{OutageEnded, Info, "store answers a node again, or too few peers are heard to tell"},
 	{PeerUp, Info, "link to peer up"},
 	{PeerDown, Warn, "link to peer down"},
 	{PeerBadFrame, Warn, "malformed frame from peer, link closed"},
