Let hubs hold the formation lease, and let leaves wait for the store's return

Now a leaf whose hub reaches the store gives the lease up, and leaves retry after up to 3 s: hubs pass on what the store says. Where only a leaf reaches the store, it keeps the lease.

--- a/pkg/core/formation/formation_test.go
+++ b/pkg/core/formation/formation_test.go
@@ -408,3 +408,18 @@
 	g.Expect(nextHeard(heard, "n4")).To(gomega.Equal(state.NodeID("n1")))
 	g.Expect(nextHeard(nil, "n4")).To(gomega.BeEmpty())
 }
+
+// TestLeaseIsYielded guards against a node that keeps or takes the lease though
+// another can hold it better.
+func TestLeaseIsYielded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t)
+	r.startTraffic()
+	r.tables.Managed.YieldsLease = true
+	r.run(renewPeriod + time.Second)
+	g.Expect(r.system.holds(r.now)).To(gomega.BeFalse())
+	g.Expect(r.tables.Managed.Lease.Row.Holder).To(gomega.BeEmpty())
+	r.tables.Managed.YieldsLease = false
+	r.run(time.Second)
+	g.Expect(r.system.holds(r.now)).To(gomega.BeTrue())
+}
--- a/pkg/core/formation/lease.go
+++ b/pkg/core/formation/lease.go
@@ -99,7 +99,7 @@
 		return
 	}
 	switch {
-	case s.t.Draining && l.held:
+	case l.held && (s.t.Draining || s.m.YieldsLease):
 		s.write(now, state.LeaseRow{Fence: l.row.Fence, Renewal: l.row.Renewal + 1}, l.revision, false, out)
 	case s.t.Draining:
 	case l.held:
@@ -166,7 +166,7 @@
 // nothing.
 func (s *System) mayTake(now time.Duration) bool {
 	seen := &s.m.Lease
-	if s.m.Catalogue == nil || !s.t.Config.Fresh || !s.m.Following {
+	if s.m.Catalogue == nil || !s.t.Config.Fresh || !s.m.Following || s.m.YieldsLease {
 		return false
 	}
 	if _, heard := s.m.Heard[seen.Row.Holder]; heard && s.isStoreJustBack(now) {
--- a/pkg/core/inventory/hub.go
+++ b/pkg/core/inventory/hub.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// meshNodes is the number of nodes up to which each is linked with each. The
-	// bulletins of 8 nodes cost each of them 140 messages a second.
-	meshNodes = 9
 	// hubsPerDataCentre is the number of nodes of a data centre that pass on
 	// bulletins and rows where there are more nodes. Two of them may be lost.
 	hubsPerDataCentre = 3
@@ -24,7 +21,7 @@
 // chooseHubs returns the hubs of an installation, or nil where all nodes are
 // linked with each other. All nodes choose the same ones from the registry.
 func chooseHubs(nodes *state.Table[state.NodeID, state.RegisteredNode]) map[state.NodeID]bool {
-	if nodes.Len() <= meshNodes {
+	if nodes.Len() <= state.MeshNodes {
 		return nil
 	}
 	hubs, count := map[state.NodeID]bool{}, map[state.DataCentre]int{}
@@ -92,6 +89,7 @@
 	urgent := lease != nil && now < lease.HeldUntil
 	want := state.FollowTables{
 		On: urgent || !s.isFollowedFor(now), Instances: urgent || !s.holderFollows(now), Urgent: urgent,
+		Patient: !urgent && s.hubs != nil && !s.hubs[s.t.Self.ID],
 	}
 	if s.started && want == s.following {
 		return
@@ -101,6 +99,18 @@
 	out.Add(want)
 }
 
+// yieldsLease reports whether this node is a leaf whose hub reaches the store.
+// Hubs do not hear a leaf of another hub: with a leaf as the holder of the
+// formation lease, each of twelve hubs followed the list of instances itself.
+func (s *System) yieldsLease(now time.Duration) bool {
+	if s.hubs == nil || s.hubs[s.t.Self.ID] {
+		return false
+	}
+	hub := s.primaryHub(now)
+	b := s.bulletins[hub]
+	return b != nil && now-s.m.Heard[hub] < heardFor && isRecent(b.EvidenceAge)
+}
+
 // isFollowedFor reports whether a peer follows the tables for this node.
 func (s *System) isFollowedFor(now time.Duration) bool {
 	if !s.isUpToDate() {
--- a/pkg/core/inventory/inventory.go
+++ b/pkg/core/inventory/inventory.go
@@ -276,6 +276,7 @@
 	}
 	s.register(now, out)
 	s.findOutage(now, out)
+	s.m.YieldsLease = s.yieldsLease(now)
 	s.judge(now, out)
 	s.follow(now, out)
 	if now >= s.nextBeat {
--- a/pkg/core/inventory/outage_test.go
+++ b/pkg/core/inventory/outage_test.go
@@ -106,3 +106,21 @@
 	r.step(in)
 	g.Expect(r.m.Instances.Get("i1").Membership).To(gomega.Equal(open.Membership))
 }
+
+// TestLeafYieldsTheLease guards against a leaf that holds the formation lease
+// while its hub reaches the store: the other hubs do not hear it, and each follows
+// the list of instances itself. Without such a hub it keeps the lease.
+func TestLeafYieldsTheLease(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, c := range []struct {
+		self   string
+		nodes  int
+		age    time.Duration
+		yields bool
+	}{{"n11", 12, time.Second, true}, {"n11", 12, -1, false}, {"n01", 12, time.Second, false}, {"n03", 4, time.Second, false}} {
+		r := newRig(c.self, c.nodes)
+		r.hear("n00", state.Bulletin{EvidenceAge: c.age, InstancesAge: -1})
+		r.after(state.TickPeriod)
+		g.Expect(r.m.YieldsLease).To(gomega.Equal(c.yields), "%v", c)
+	}
+}
--- a/pkg/core/state/bulletin.go
+++ b/pkg/core/state/bulletin.go
@@ -75,6 +75,11 @@
 // much older at a peer than at its own node.
 const BulletinPeriod = 100 * time.Millisecond
 
+// MeshNodes is the number of nodes up to which each is linked with each. The
+// bulletins of 8 peers cost a node 140 messages a second. Beyond it they pass
+// through two hubs.
+const MeshNodes = 9
+
 // RowsRequest asks a peer for a table as it holds it.
 type RowsRequest struct {
 	Table TableKind `cbor:"1,keyasint"`
@@ -87,6 +92,8 @@
 	Instances bool
 	// Urgent is set for the node that forms groups, which acts on each change.
 	Urgent bool
+	// Patient is set for a node that others tell when the store is back.
+	Patient bool
 }
 
 func (FollowTables) output()    {}
--- a/pkg/core/state/managed.go
+++ b/pkg/core/state/managed.go
@@ -42,6 +42,10 @@
 	// first after calls that were not. Written by the inventory system.
 	OutageUntil time.Duration
 	StoreBackAt time.Duration
+	// YieldsLease is set while another node can hold the formation lease better: a
+	// hub passes the list of instances on to all nodes by itself. Written by the
+	// inventory system.
+	YieldsLease bool
 	// Changed counts changes of what the dispatch system builds its targets from.
 	Changed uint64
 	// Following is whether this node follows the store's tables itself. Written by
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -25,6 +25,11 @@
 	// firstPause and lastPause bound the wait after a call that failed.
 	firstPause = 100 * time.Millisecond
 	lastPause  = 400 * time.Millisecond
+	// patientPause is the longest wait of a node that others tell when the store is
+	// back. With the shorter one, 79 nodes made 8,000 calls in an outage of 8 s.
+	patientPause = 3 * time.Second
+	// maxDoublings keeps the wait in the range of a duration.
+	maxDoublings = 5
 )
 
 // gather is the pause after an answer with changes, in which further changes of
@@ -72,13 +77,15 @@
 	idle chan struct{}
 	// urgent is set while the node acts on each change.
 	urgent bool
+	// patient is set while other nodes tell when the store is back.
+	patient bool
 }
 
 // Follow switches the watcher on or off. A call that has begun ends first.
 func (w *Watcher) Follow(f state.FollowTables) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.urgent = f.Urgent
+	w.urgent, w.patient = f.Urgent, f.Patient
 	on := f.On
 	if w.table == state.InstanceTable {
 		on = f.Instances
@@ -174,10 +181,19 @@
 // backoff grows with each failure and is drawn at random, so that nodes do not
 // come back all at once.
 func (w *Watcher) backoff() time.Duration {
-	bound := min(firstPause<<min(w.failures, 4), lastPause)
+	bound := min(firstPause<<min(w.failures, maxDoublings), w.longestPause())
 	return bound/2 + rand.N(bound/2)
 }
 
+func (w *Watcher) longestPause() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.patient {
+		return patientPause
+	}
+	return lastPause
+}
+
 func (w *Watcher) pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/pkg/watch/watch_test.go
+++ b/pkg/watch/watch_test.go
@@ -103,3 +103,27 @@
 	w.Follow(state.FollowTables{Instances: true})
 	g.Eventually(from.seen).Should(gomega.Equal([]string{"whole", "changes"}))
 }
+
+// TestPatientWatcher guards against the calls of many nodes in an outage of the
+// store, where a few that pass its answers on are enough to see its return.
+func TestPatientWatcher(t *testing.T) {
+	for _, patient := range []bool{false, true} {
+		g := gomega.NewWithT(t)
+		down := make([]error, 100)
+		for i := range down {
+			down[i] = errors.New("down")
+		}
+		from := &source{answers: down}
+		ctx, cancel := context.WithTimeout(context.Background(), 2500*time.Millisecond)
+		w := watch.New(state.InstanceTable, from, &sink{}, slog.New(slog.DiscardHandler))
+		w.Follow(state.FollowTables{On: true, Instances: true, Patient: patient})
+		w.Run(ctx)
+		cancel()
+		// The pauses double from 100 ms on, each between half of that and the whole.
+		if patient {
+			g.Expect(len(from.seen())).To(gomega.BeNumerically("<=", 5))
+		} else {
+			g.Expect(len(from.seen())).To(gomega.BeNumerically(">=", 6))
+		}
+	}
+}
