Rank waiting requests by the client account's priority first

The platform's configuration may give a client account a priority, which goes before that of the route. It was decoded and not used. A test failed first.

--- a/pkg/core/dispatch/dispatch.go
+++ b/pkg/core/dispatch/dispatch.go
@@ -23,6 +23,9 @@
 	begun bool
 	// stalled is set while the running attempt carries nothing.
 	stalled bool
+	// priority is that of the client account, or of the route where the account has
+	// none; 0 is first.
+	priority int
 	// objective is when the objective of the request ends.
 	objective time.Duration
 	// firstAt is when the first event of all attempts arrived.
@@ -99,7 +102,7 @@
 		s.refuse(now, req, refusal, out)
 		return
 	}
-	j := &job{req: req, objective: req.ArrivedAt + req.Route.Objective}
+	j := &job{req: req, objective: req.ArrivedAt + req.Route.Objective, priority: s.routes.priority(req)}
 	j.class = s.class(classKey{service: req.Service, model: s.modelOf(req)})
 	s.jobs[a.ID] = j
 	s.deadlines.Schedule(a.ID, req.Deadline)
--- a/pkg/core/dispatch/dispatch_test.go
+++ b/pkg/core/dispatch/dispatch_test.go
@@ -121,13 +121,26 @@
 func TestWaitingOrder(t *testing.T) {
 	g := gomega.NewWithT(t)
 	waiting := func(objective time.Duration, priority int) *job {
-		return &job{objective: objective, req: &state.Request{Route: &state.Route{Priority: priority}}}
+		return &job{objective: objective, priority: priority}
 	}
 	late, soon, later, urgent := waiting(1, 0), waiting(20, 1), waiting(30, 1), waiting(40, 0)
 	order := ranked(10, []*job{late, later, soon, urgent})
 	g.Expect(order).To(gomega.Equal([]*job{urgent, soon, later, late}))
 }
 
+// TestPriorityOfTheAccount guards against an urgent client account that waits
+// behind the others: its priority goes before that of the route.
+func TestPriorityOfTheAccount(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t, 1)
+	first := r.system.jobs[r.request("/a/", 10)]
+	g.Expect(first.priority).To(gomega.Equal(1))
+	r.tables.Managed.Catalogue = catalogue(2)
+	r.tables.Managed.Catalogue.Accounts[0].Priority = 0
+	r.tables.Managed.Changed++
+	g.Expect(r.system.jobs[r.request("/a/", 10)].priority).To(gomega.Equal(0))
+}
+
 // TestSilentGroupIsLeft replays a member that died: the leader sends nothing any
 // more. Streams that have begun go on at another group, no new one comes, and
 // the target is reported.
--- a/pkg/core/dispatch/rig_test.go
+++ b/pkg/core/dispatch/rig_test.go
@@ -65,7 +65,7 @@
 				Objective: 100 * time.Millisecond, Priority: 2, MaxAttempts: 2, Split: []state.ServiceShare{{Service: desk, Weight: 1}}},
 		},
 		Services: []state.ServiceProfile{{Name: pool, ColdRate: 36, Engine: engine}, {Name: desk}},
-		Accounts: []state.ManagedAccount{{Name: account, KeyHashes: [][32]byte{sha256.Sum256([]byte(apiKey))}}},
+		Accounts: []state.ManagedAccount{{Name: account, Priority: -1, KeyHashes: [][32]byte{sha256.Sum256([]byte(apiKey))}}},
 	}
 }
 
--- a/pkg/core/dispatch/route.go
+++ b/pkg/core/dispatch/route.go
@@ -51,6 +51,15 @@
 	return nil
 }
 
+// priority returns the rank of a request: that of its client account goes before
+// that of its route.
+func (r *routes) priority(req *state.Request) int {
+	if a := r.accounts[req.Arrival.Routed.KeyHash]; a != nil && a.Priority >= 0 && req.Account == a.Name {
+		return a.Priority
+	}
+	return req.Route.Priority
+}
+
 // chooseService draws a service by the weights of the route. The draw is a
 // number in [0, 1).
 func chooseService(route *state.Route, draw float64) string {
--- a/pkg/core/dispatch/wait.go
+++ b/pkg/core/dispatch/wait.go
@@ -132,8 +132,8 @@
 			}
 			return -1
 		}
-		if a.req.Route.Priority != b.req.Route.Priority {
-			return a.req.Route.Priority - b.req.Route.Priority
+		if a.priority != b.priority {
+			return a.priority - b.priority
 		}
 		return int(a.objective - b.objective)
 	})
