Let a new holder of the lease read the list before it gives orders

A new holder whose list is from before its lease could take a host from a group that the earlier holder formed just before, though the counts fit.

Now the list must have been asked for after the lease was taken, and in an outage a node to which the lease was handed over waits for the lag of reports. The list changes some 40 times a second, so that the wait is one call of the feed.

--- a/pkg/core/formation/formation.go
+++ b/pkg/core/formation/formation.go
@@ -103,11 +103,21 @@
 		return
 	}
 	s.observe(now)
-	if s.holds(now) && (s.isListFresh(now) || s.isOutage(now)) {
+	if s.holds(now) && s.isInformed(now) {
 		s.act(now, out)
 	}
 }
 
+// isInformed reports whether this node knows what an earlier holder of the lease
+// has ordered: the list was asked for after the lease was taken, or, in an outage,
+// reports show by now what was done before the lease was handed over.
+func (s *System) isInformed(now time.Duration) bool {
+	if s.isOutage(now) {
+		return s.lease.handedAt == 0 || now-s.lease.handedAt > state.ReportLag
+	}
+	return s.isListFresh(now) && s.m.Tables[state.InstanceTable].SeenAt > s.lease.takenAt
+}
+
 // isOutage reports whether the store is down for all nodes that this one hears.
 // The reports of hosts then take the place of the list of instances.
 func (s *System) isOutage(now time.Duration) bool { return now < s.m.OutageUntil }
--- a/pkg/core/formation/formation_test.go
+++ b/pkg/core/formation/formation_test.go
@@ -330,6 +330,25 @@
 	g.Expect(r.violations).To(gomega.BeEmpty())
 }
 
+// TestNewHolderReadsTheListFirst guards against orders of a new holder that rest on
+// a list from before it took the lease: an earlier holder may have formed groups
+// since, and reports show them later than the count of orders.
+func TestNewHolderReadsTheListFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t)
+	r.startTraffic()
+	r.listStale = true
+	r.run(state.TickPeriod)
+	r.system.lease.takenAt = r.now
+	n := len(r.orders)
+	r.lose(r.memberOf(large, 1))
+	r.run(time.Second)
+	g.Expect(r.orders[n:]).To(gomega.BeEmpty())
+	r.listStale = false
+	r.run(time.Second)
+	g.Expect(r.orders[n:]).NotTo(gomega.BeEmpty())
+}
+
 // TestOldReportIsNoNews guards against a host in two groups in an outage of the
 // store: a report may be 200 ms behind, and showed a leader as it was before it
 // served. Found by a hunt, on eleven hosts of one day.
