--- a/test/process/rig_test.go
+++ b/test/process/rig_test.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"io"
-	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -24,7 +23,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/apricotgrade/apricotgrade/internal/freeport"
-	"github.com/apricotgrade/apricotgrade/internal/gozero"
+	"github.com/apricotgrade/apricotgrade/internal/testdaemon"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 	"github.com/apricotgrade/apricotgrade/pkg/operator"
 	"github.com/apricotgrade/apricotgrade/pkg/standin"
@@ -38,24 +37,7 @@
 
 var daemonPath string
 
-func TestMain(m *testing.M) { os.Exit(run(m)) }
-
-func run(m *testing.M) int {
-	gozero.Quiet(slog.New(slog.DiscardHandler))
-	dir, err := os.MkdirTemp("", "apricotgrade-process")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	daemonPath = filepath.Join(dir, "apricotgraded")
-	build := exec.Command("go", "build", "-o", daemonPath, "github.com/apricotgrade/apricotgrade/cmd/apricotgraded")
-	if out, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintln(os.Stderr, string(out), err)
-		return 1
-	}
-	return m.Run()
-}
+func TestMain(m *testing.M) { os.Exit(testdaemon.Run(&daemonPath, m.Run, os.Stderr)) }
 
 // rig is the stand-ins around the daemons of one test.
 type rig struct {
