--- a/pkg/core/dispatch/place.go
+++ b/pkg/core/dispatch/place.go
@@ -20,9 +20,6 @@
 	// sampled is the number of targets of which the best gets a request where there
 	// are more nodes than are linked with each other.
 	sampled = 3
-	// predictionError is how much longer first events take than predicted at full
-	// groups: 400 ms where 300 were predicted.
-	predictionError = 1.3
 	// otherDataCentre is the cost of the way to another data centre: a round trip
 	// of 1 ms, and the bytes between data centres, which are charged.
 	otherDataCentre = 6 * time.Millisecond
@@ -120,18 +117,7 @@
 	if t.engine == nil {
 		return t.inFlight() < t.slots*plainQueue
 	}
-	return t.inFlight() < t.slots && s.meetsObjective(now, t, j)
-}
-
-// meetsObjective reports whether a target begins to answer in time. A request
-// that is late anyway takes any place.
-func (s *System) meetsObjective(now time.Duration, t *target, j *job) bool {
-	left := j.objective - now
-	if left <= 0 || j.req.Attempt > 0 {
-		return true
-	}
-	predicted := firstEvent(t.engine, t.pace, t.engineLoad(), j.req.Arrival.Routed.PromptTokens)
-	return time.Duration(float64(predicted)*predictionError) <= left
+	return t.inFlight() < t.slots
 }
 
 // cost is the predicted time to the first event with what speaks against the
