Say once when an answer of the store is missing, and when one is recent

The outage verdict wrote two checks again that stood elsewhere: whether the last call of a table went unanswered (in TableView.Age, in the verdict and in the lease) and whether an age is one to rely on (in two places of the hubs). Each is one function now.

--- a/pkg/core/formation/lease.go
+++ b/pkg/core/formation/lease.go
@@ -65,13 +65,6 @@
 	return s.lease.held && (now < s.lease.heldUntil || s.isOutage(now))
 }
 
-// isUnanswered reports whether the store has not answered this node's last call
-// for the list of instances.
-func (s *System) isUnanswered() bool {
-	view := &s.m.Tables[state.InstanceTable]
-	return view.FailedAt > view.SeenAt
-}
-
 // isStoreJustBack reports whether the store answers again after an outage for so
 // short a time that the holder of the lease may not have renewed it yet.
 func (s *System) isStoreJustBack(now time.Duration) bool {
@@ -90,7 +83,8 @@
 	if s.t.Draining && l.held && now >= l.heldUntil && s.isOutage(now) {
 		s.handOver(now, out)
 	}
-	if l.held && now >= l.heldUntil && !s.isUnanswered() && !s.isStoreJustBack(now) && now-l.handedAt >= handoverTime {
+	unanswered := s.m.Tables[state.InstanceTable].IsUnanswered()
+	if l.held && now >= l.heldUntil && !unanswered && !s.isStoreJustBack(now) && now-l.handedAt >= handoverTime {
 		s.lost(now, "no renewal was answered in time", out)
 	}
 	// A call from before the store's return is not waited for. Should it still be
--- a/pkg/core/inventory/hub.go
+++ b/pkg/core/inventory/hub.go
@@ -119,7 +119,7 @@
 	for id, b := range s.bulletins {
 		row := s.m.Nodes.Get(id)
 		if row != nil && row.Entry.DataCentre == s.t.Self.DataCentre && id < s.t.Self.ID &&
-			now-s.m.Heard[id] < heardFor && b.EvidenceAge >= 0 && b.EvidenceAge < evidenceFor {
+			now-s.m.Heard[id] < heardFor && isRecent(b.EvidenceAge) {
 			return true
 		}
 	}
@@ -137,7 +137,7 @@
 		holder = s.primaryHub(now)
 	}
 	at, heard := s.m.Heard[holder]
-	return s.isUpToDate() && b != nil && heard && now-at < heardFor && b.InstancesAge >= 0 && b.InstancesAge < evidenceFor
+	return s.isUpToDate() && b != nil && heard && now-at < heardFor && isRecent(b.InstancesAge)
 }
 
 // isUpToDate reports whether this node holds all tables, so that rows passed on
--- a/pkg/core/inventory/outage.go
+++ b/pkg/core/inventory/outage.go
@@ -42,7 +42,7 @@
 		if isRecent(view.Age(now)) {
 			return false
 		}
-		unanswered = unanswered || view.FailedAt > view.SeenAt
+		unanswered = unanswered || view.IsUnanswered()
 	}
 	if !unanswered {
 		return false
@@ -60,6 +60,8 @@
 	return 2*heard >= len(s.peers)
 }
 
+// isRecent reports whether the age of an answer of the store, negative for none,
+// is one to rely on.
 func isRecent(age time.Duration) bool { return age >= 0 && age < evidenceFor }
 
 // reported takes the report of a host in an outage of the store, when the list
--- a/pkg/core/state/managed.go
+++ b/pkg/core/state/managed.go
@@ -108,8 +108,11 @@
 // Age returns the age of the last answer of the store, or a negative number
 // where there is none or the last call failed.
 func (v *TableView) Age(now time.Duration) time.Duration {
-	if v.SeenAt < 0 || v.FailedAt > v.SeenAt {
+	if v.SeenAt < 0 || v.IsUnanswered() {
 		return -1
 	}
 	return now - v.SeenAt
 }
+
+// IsUnanswered reports whether the store has not answered the last call.
+func (v *TableView) IsUnanswered() bool { return v.FailedAt > v.SeenAt }
