Guard the started answer of an attempt against its stall timer

TestSlowStreamIsNotCut under the race detector reports two races on the code of: the stall timer reads the flag that the answer has started while the goroutine of the attempt sets it. Both hold the attempt's lock now; the test passes with the detector.

--- a/pkg/gateway/routedattempt.go
+++ b/pkg/gateway/routedattempt.go
@@ -41,6 +41,7 @@
 	ctx      context.Context
 	result   state.AttemptEvent
 
+	// mu guards the fields below, and result.AnswerStarted while the stall timer runs.
 	mu         sync.Mutex
 	stallTimer *time.Timer
 	stallDue   time.Time
@@ -92,7 +93,7 @@
 func (a *routedAttempt) eventsArrived() {
 	a.mu.Lock()
 	wasStalled := a.stalled
-	a.stalled = false
+	a.stalled, a.result.AnswerStarted = false, true
 	if a.stallTimer != nil && a.start.StallAfter > 0 {
 		a.stallDue = time.Now().Add(a.start.StallAfter)
 		a.stallTimer.Reset(a.start.StallAfter)
@@ -104,7 +105,10 @@
 }
 
 func (a *routedAttempt) reportStage(stage state.AttemptStage) {
-	a.gateway.daemon.Feed(state.AttemptEvent{Request: a.start.Request, Attempt: a.start.Attempt, Stage: stage, AnswerStarted: a.result.AnswerStarted})
+	a.mu.Lock()
+	answerStarted := a.result.AnswerStarted
+	a.mu.Unlock()
+	a.gateway.daemon.Feed(state.AttemptEvent{Request: a.start.Request, Attempt: a.start.Attempt, Stage: stage, AnswerStarted: answerStarted})
 }
 
 // fail sets the failure of the attempt after an error while sending or reading.
@@ -218,6 +222,7 @@
 			if a.result.EventCount == 0 && !a.exchange.answerStarted {
 				// A complete stream without events is relayed as an empty answer.
 				a.startAnswer(w, res)
+				a.eventsArrived()
 			}
 			return
 		case errors.Is(err, io.EOF):
@@ -257,7 +262,6 @@
 	first := a.result.EventCount == 0
 	undelivered := a.undeliveredEvents(events)
 	a.startAnswer(w, res)
-	a.result.AnswerStarted = true
 	if len(undelivered) > 0 && !a.exchange.callerDisconnected.Load() {
 		writer.write(undelivered)
 		writer.flush()
--- a/pkg/gateway/routedgateway.go
+++ b/pkg/gateway/routedgateway.go
@@ -235,7 +235,6 @@
 		g.daemon.Feed(notice)
 	}
 	a.receive(w, res)
-	a.result.AnswerStarted = e.answerStarted
 	return a.result
 }
 
