Keep a silent attempt open until its replacement delivers

Callers saw a stream end without its answer, or a 502, although its target was sound: the target was silent for a second, the node cancelled the attempt after 0.6 s, and the second attempt was refused, reset, answered with an error or silent itself. With max_attempts used up, the answer that had begun was aborted.

Cause: failOver gave up an attempt that could still succeed before it had anything in its place. Class of fault: an irreversible step on a suspicion.

The silent attempt now stays open as the fallback. Whichever attempt delivers the next event first continues the answer, the other one is cancelled, and if the replacement fails the fallback is the running attempt again. The gateway runs both attempts and decides under one lock which of them may write, so that no event of the other one can follow. A failover starts the attempt at the target that it has checked, where before the check used up the only token of a cold target and the attempt found no place.

The panic of an attempt fails that attempt only, as before, since attempts no longer run in the goroutines of the HTTP server.

--- a/pkg/core/dispatch/attempt.go
+++ b/pkg/core/dispatch/attempt.go
@@ -33,6 +33,10 @@
 // handleAttemptEvent handles an event of an attempt. It drops events of attempts
 // other than the running one, whose answers are no longer used.
 func (s *System) handleAttemptEvent(now time.Duration, ev state.AttemptEvent, out *state.Outbox) {
+	if active := s.activeRequests[ev.Request]; active != nil && active.fallback.is(ev.Attempt) {
+		s.handleFallbackEvent(now, active, ev, out)
+		return
+	}
 	req := s.tables.Requests.Get(ev.Request)
 	if req == nil || !req.IsCurrent(ev) {
 		s.tables.Counters.StaleEvents++
@@ -46,11 +50,17 @@
 		}
 		return
 	}
+	s.handleStage(now, active, ev, out)
+}
+
+// handleStage handles an event of the running attempt.
+func (s *System) handleStage(now time.Duration, active *activeRequest, ev state.AttemptEvent, out *state.Outbox) {
 	switch ev.Stage {
 	case state.AttemptFirstByte:
 		if active.firstEventAt == 0 {
 			active.firstEventAt = now
 		}
+		s.dropFallback(active, out)
 		s.handleFirstEvent(active, out)
 	case state.AttemptStalled:
 		s.handleStall(now, active, out)
@@ -169,34 +179,35 @@
 	out.Log(eventID, slog.String("target", string(t.id)), slog.String("group", string(t.group)), slog.Int("streams", len(t.activeRequests)))
 }
 
-// failOver cancels a stalled attempt and retries the request at another target.
-// It does nothing if the request may not be retried. If no other target is
-// eligible, it tries again after targetStallFailoverDelay.
+// failOver starts another attempt of a request whose attempt has stalled and stays open
+// as the fallback. It does nothing if the request may not be retried. If no other target
+// is eligible, it tries again after targetStallFailoverDelay.
 func (s *System) failOver(now time.Duration, active *activeRequest, out *state.Outbox) {
 	if active.req.Route.RetryClass == state.NonIdempotent || !s.mayRetry(now, active) {
 		return
 	}
 	triedBefore := slices.Clone(active.req.TriedTargets)
 	active.req.TriedTargets = append(active.req.TriedTargets, active.req.Target)
-	if s.pickTarget(now, active) == nil {
+	replacement := s.pickTarget(now, active)
+	if replacement == nil {
 		active.req.TriedTargets = triedBefore
 		s.failovers.Schedule(active.req.Arrival.ID, now+targetStallFailoverDelay)
 		return
 	}
-	out.Add(state.CancelAttempt{Request: active.req.Arrival.ID, Attempt: active.req.Attempt})
 	out.Log(event.AttemptFailed, slog.String("request", active.req.Arrival.Routed.AttemptID), slog.Int("attempt", active.req.Attempt),
 		slog.String("target", string(active.target.id)), slog.String("group", string(active.target.group)), slog.String("failure", failureNames[state.FailureInactivityTimeout]),
 		slog.Bool("begun", active.firstEventSeen), slog.Duration("age", now-active.req.ArrivedAt), slog.Bool("all_silent", active.target.suspect))
+	active.fallback = &fallbackAttempt{number: active.req.Attempt, target: active.target, begun: active.firstEventSeen}
 	active.req.LastEndedAttempt, active.req.MayHaveRun = active.req.Attempt, true
 	s.releaseTarget(now, active)
-	s.retry(now, active, out)
+	s.startAttempt(now, active, replacement, out)
 }
 
 // mayRetry reports whether the route's number of attempts, the deadline and the
 // retry budget allow one more attempt. A node that no longer admits requests
 // starts none.
 func (s *System) mayRetry(now time.Duration, active *activeRequest) bool {
-	if active.req.Attempt >= active.req.Route.MaxAttempts || now >= active.req.Deadline || s.tables.Draining && s.admissionClosed(now) {
+	if active.attempts >= active.req.Route.MaxAttempts || now >= active.req.Deadline || s.tables.Draining && s.admissionClosed(now) {
 		return false
 	}
 	if s.retryBudget(active.req.Service).remaining(now, newRetryLimit(&s.tables.Self, active.req.Service, s.managed.Nodes.Len(), now)) <= 0 {
@@ -223,6 +234,7 @@
 	s.recordTargetHealth(now, t, ev)
 	s.releaseTarget(now, active)
 	if ev.Failure == state.FailureNone {
+		s.dropFallback(active, out)
 		s.answer(now, req, ev.AnswerBuffered, out)
 		s.placeQueued(now, out)
 		return
@@ -231,6 +243,12 @@
 		slog.String("target", string(t.id)), slog.String("group", string(t.group)), slog.String("failure", failureNames[ev.Failure]),
 		slog.String("outcome", string(ev.Outcome)), slog.Int("status", ev.Status), slog.Int("events", ev.EventCount),
 		slog.Duration("age", now-req.ArrivedAt), slog.String("at_fault", string(ev.FaultyHost)))
+	if active.fallback != nil {
+		req.TriedTargets = append(req.TriedTargets, req.Target)
+		s.resumeFallback(active)
+		s.placeQueued(now, out)
+		return
+	}
 	if s.isRetryable(req, ev) && s.mayRetry(now, active) {
 		req.TriedTargets = append(req.TriedTargets, req.Target)
 		s.retry(now, active, out)
--- a/pkg/core/dispatch/dispatch.go
+++ b/pkg/core/dispatch/dispatch.go
@@ -18,8 +18,13 @@
 type activeRequest struct {
 	req  *state.Request
 	pool *targetPool
+	// attempts is the number of attempts that were started.
+	attempts int
 	// target is that of the running attempt, nil while none runs.
 	target *target
+	// fallback is the previous attempt while it stays open beside the running one, or
+	// nil.
+	fallback *fallbackAttempt
 	// firstEventSeen is set once an event of the running attempt has arrived.
 	firstEventSeen bool
 	// stalled is set while the running attempt receives no events.
@@ -266,6 +271,9 @@
 func (s *System) refuse(now time.Duration, req *state.Request, refusal *apierror.Error, out *state.Outbox, extraAttrs ...slog.Attr) {
 	// EndWithRefusal cancels the running attempt, so finish releases the target
 	// only afterwards.
+	if active := s.activeRequests[req.Arrival.ID]; active != nil {
+		s.dropFallback(active, out)
+	}
 	s.tables.EndWithRefusal(now, req, refusal, out)
 	attrs := []slog.Attr{
 		slog.String("request", req.Arrival.Routed.AttemptID), slog.String("code", refusal.Code),
--- a/pkg/core/dispatch/place.go
+++ b/pkg/core/dispatch/place.go
@@ -167,7 +167,8 @@
 	routed := req.Arrival.Routed
 	predicted := s.cost(now, t, active)
 	req.Phase, req.Target, req.SentAt = state.RequestSent, state.TargetID(t.id), now
-	req.Attempt++
+	active.attempts++
+	req.Attempt = active.attempts
 	active.target, active.firstEventSeen, active.stalled = t, false, false
 	t.activeRequests[req.Arrival.ID] = active
 	t.load.Waiting++
@@ -179,6 +180,7 @@
 	attempt := state.StartAttempt{
 		Request: req.Arrival.ID, Attempt: req.Attempt, Target: req.Target, Address: t.address, NewConnection: true,
 		Timeout: req.Deadline - now, DecidedAt: now, ExpectedInstance: t.id, StartID: t.startID, Account: req.Account,
+		KeepPrevious: active.fallback != nil,
 	}
 	if req.Route.Stream {
 		attempt.StallAfter, attempt.FirstEventStallAfter = stallTimeout, 2*predicted+firstEventSlack
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -93,6 +93,7 @@
 	RequestEnded        ID = 1306
 	TargetStalled       ID = 1307
 	TargetStallEnded    ID = 1308
+	FallbackResumed     ID = 1309
 )
 
 // Events of the process: 1400 to 1499.
@@ -195,6 +196,7 @@
 	{RequestEnded, Info, "request ended"},
 	{TargetStalled, Warn, "all streams of a target stalled"},
 	{TargetStallEnded, Info, "target sends stream events again"},
+	{FallbackResumed, Info, "silent target sends again; its stream continues there"},
 	{NodeStarted, Info, "node started"},
 	{NodeReady, Info, "node ready"},
 	{NodeDraining, Info, "graceful shutdown started"},
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -77,7 +77,7 @@
 func (a *attemptState) close() {
 	a.inactivityTimer.Stop()
 	a.cancel(nil)
-	a.exchange.endAttempt()
+	a.exchange.endAttempt(a.start.Attempt)
 }
 
 // resetInactivityTimer is called whenever data has arrived.
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,12 +40,11 @@
 	reply   chan state.Reply
 
 	mu sync.Mutex
-	// cancelAttempt cancels the running attempt; nil when none runs.
-	// lastCancelledAttempt is the highest attempt that the core has cancelled, which
-	// may be one that has not begun yet.
-	cancelAttempt        context.CancelCauseFunc
-	runningAttempt       int
-	lastCancelledAttempt int
+	// cancels holds the functions that cancel the running attempts, by their numbers.
+	cancels map[int]context.CancelCauseFunc
+	// cancelled holds the attempts that the core has cancelled, which may include
+	// one that has not begun yet.
+	cancelled []int
 
 	callerDisconnected atomic.Bool
 
@@ -63,7 +63,10 @@
 const startQueueSize = 4
 
 func newExchange(request *callerRequest) *exchange {
-	return &exchange{request: request, starts: make(chan state.StartAttempt, startQueueSize), reply: make(chan state.Reply, 1)}
+	return &exchange{
+		request: request, starts: make(chan state.StartAttempt, startQueueSize), reply: make(chan state.Reply, 1),
+		cancels: map[int]context.CancelCauseFunc{},
+	}
 }
 
 // Start implements daemon.Exchange.
@@ -78,13 +81,13 @@
 func (e *exchange) Cancel(order state.CancelAttempt) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.lastCancelledAttempt = max(e.lastCancelledAttempt, order.Attempt)
-	if e.cancelAttempt != nil && e.runningAttempt <= e.lastCancelledAttempt {
-		e.cancelAttempt(errCancelled)
+	e.cancelled = append(e.cancelled, order.Attempt)
+	if cancel := e.cancels[order.Attempt]; cancel != nil {
+		cancel(errCancelled)
 	}
 }
 
-// Reply implements daemon.Exchange. It cancels a running attempt, so that the caller
+// Reply implements daemon.Exchange. It cancels the running attempts, so that the caller
 // receives a refusal at once. The attempt of an at-most-once request continues,
 // because its answer completes the claim.
 func (e *exchange) Reply(reply state.Reply) {
@@ -93,10 +96,17 @@
 	default:
 		return
 	}
+	if !e.request.arrival.AtMostOnce {
+		e.cancelAttempts()
+	}
+}
+
+// cancelAttempts cancels all running attempts.
+func (e *exchange) cancelAttempts() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.cancelAttempt != nil && !e.request.arrival.AtMostOnce {
-		e.cancelAttempt(errCancelled)
+	for _, cancel := range e.cancels {
+		cancel(errCancelled)
 	}
 }
 
@@ -108,17 +118,17 @@
 	ctx, cancel := context.WithCancelCause(context.Background())
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.cancelAttempt, e.runningAttempt = cancel, attempt
-	if attempt <= e.lastCancelledAttempt {
+	e.cancels[attempt] = cancel
+	if slices.Contains(e.cancelled, attempt) {
 		cancel(errCancelled)
 	}
 	return ctx, cancel
 }
 
-func (e *exchange) endAttempt() {
+func (e *exchange) endAttempt(attempt int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.cancelAttempt = nil
+	delete(e.cancels, attempt)
 }
 
 // run submits a request to the core and executes its decisions until the reply.
--- a/pkg/gateway/routedattempt.go
+++ b/pkg/gateway/routedattempt.go
@@ -40,6 +40,10 @@
 	start    state.StartAttempt
 	ctx      context.Context
 	result   state.AttemptEvent
+	// lastEventID is the id of the last event that the caller had when the attempt began,
+	// and eventsBefore the number of events delivered until then.
+	lastEventID  string
+	eventsBefore int
 
 	// mu guards the fields below, and result.AnswerStarted while the stall timer runs.
 	mu         sync.Mutex
@@ -49,6 +53,30 @@
 	done       bool
 }
 
+// newRoutedAttempt returns an attempt that continues the answer of an exchange.
+func newRoutedAttempt(ctx context.Context, g *RoutedGateway, e *routedExchange, start state.StartAttempt) *routedAttempt {
+	e.answerMu.Lock()
+	defer e.answerMu.Unlock()
+	if !start.KeepPrevious {
+		g.releaseBuffer(e)
+	}
+	return &routedAttempt{
+		gateway: g, exchange: e, start: start, ctx: ctx, lastEventID: e.lastEventID, eventsBefore: e.deliveredEvents,
+		result: state.AttemptEvent{
+			Request: start.Request, Attempt: start.Attempt, Stage: state.AttemptEnded, Outcome: apierror.Unknown, AnswerStarted: e.answerStarted,
+		},
+	}
+}
+
+// continuesAnswer reports whether no other attempt has delivered an event since this one
+// began or delivered its own last one. The caller holds answerMu.
+func (a *routedAttempt) continuesAnswer() bool {
+	return a.exchange.deliveringAttempt == a.start.Attempt || a.exchange.deliveredEvents == a.eventsBefore
+}
+
+// supersede ends an attempt after another one has continued the answer.
+func (a *routedAttempt) supersede() { a.result.Failure = state.FailureCancelled }
+
 // startStallTimer starts the timer that reports a stall of the stream to the core.
 func (a *routedAttempt) startStallTimer() {
 	if a.start.FirstEventStallAfter <= 0 {
@@ -134,7 +162,7 @@
 		a.result.Failure, a.result.Outcome = state.FailureTargetRefused, apierror.NotRun
 	case res.StatusCode == http.StatusOK && metadata.Signed && strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream"):
 		a.relayStream(w, res)
-	case a.exchange.answerStarted:
+	case a.result.AnswerStarted:
 		// A stream that has started cannot continue with another kind of answer.
 		a.result.Failure = state.FailureConnectionLost
 	default:
@@ -155,11 +183,27 @@
 		a.result.Failure = state.FailureConnectionLost
 		return
 	}
-	a.exchange.bufferedAnswer = &bufferedAnswer{status: res.StatusCode, header: res.Header, body: body}
+	a.keepBufferedAnswer(&bufferedAnswer{status: res.StatusCode, header: res.Header, body: body})
+}
+
+// keepBufferedAnswer keeps a complete answer for the caller. Another attempt may still
+// begin its answer after a server error, but not after any other answer.
+func (a *routedAttempt) keepBufferedAnswer(answer *bufferedAnswer) {
+	e := a.exchange
+	e.answerMu.Lock()
+	defer e.answerMu.Unlock()
+	if !a.continuesAnswer() {
+		a.supersede()
+		return
+	}
+	e.bufferedAnswer = answer
 	a.result.AnswerBuffered, a.result.Outcome = true, apierror.Done
-	if res.StatusCode >= http.StatusInternalServerError {
+	if answer.status >= http.StatusInternalServerError {
 		a.result.Failure = state.FailureTargetError
+		return
 	}
+	e.deliveringAttempt = a.start.Attempt
+	e.deliveredEvents++
 }
 
 var (
@@ -176,7 +220,7 @@
 	for {
 		n, err := r.Read(chunk)
 		if n > 0 {
-			a.exchange.reservedBytes += int64(n)
+			a.exchange.reservedBytes.Add(int64(n))
 			if a.gateway.bufferedBytes.Add(int64(n)) > maxBufferedBytes {
 				return nil, errBuffersFull
 			}
@@ -195,8 +239,8 @@
 
 // releaseBuffer drops the buffered answer of an exchange.
 func (g *RoutedGateway) releaseBuffer(e *routedExchange) {
-	g.bufferedBytes.Add(-e.reservedBytes)
-	e.reservedBytes, e.bufferedAnswer = 0, nil
+	g.bufferedBytes.Add(-e.reservedBytes.Swap(0))
+	e.bufferedAnswer = nil
 }
 
 var errPartialEvent = errors.New("the stream ended in the middle of an event")
@@ -213,17 +257,15 @@
 		pending = append(pending, buffer[:n]...)
 		complete, rest := splitEvents(pending)
 		if len(complete) > 0 {
-			a.relayEvents(w, writer, res, complete)
+			if !a.relayEvents(w, writer, res, complete) {
+				a.supersede()
+				return
+			}
 			pending = append(pending[:0], rest...)
 		}
 		switch {
 		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(pending)) == 0:
-			a.result.Outcome = apierror.Done
-			if a.result.EventCount == 0 && !a.exchange.answerStarted {
-				// A complete stream without events is relayed as an empty answer.
-				a.startAnswer(w, res)
-				a.eventsArrived()
-			}
+			a.completeStream(w, res)
 			return
 		case errors.Is(err, io.EOF):
 			a.fail(errPartialEvent)
@@ -247,7 +289,22 @@
 	return b[:end+2], b[end+2:]
 }
 
-// startAnswer writes the header of the answer unless it was already written.
+// completeStream ends an attempt whose stream is complete. A stream without events is
+// relayed as an empty answer.
+func (a *routedAttempt) completeStream(w http.ResponseWriter, res *http.Response) {
+	a.exchange.answerMu.Lock()
+	defer a.exchange.answerMu.Unlock()
+	if !a.continuesAnswer() {
+		a.supersede()
+		return
+	}
+	a.result.Outcome = apierror.Done
+	a.startAnswer(w, res)
+	a.eventsArrived()
+}
+
+// startAnswer writes the header of the answer unless it was already written. The caller
+// holds answerMu.
 func (a *routedAttempt) startAnswer(w http.ResponseWriter, res *http.Response) {
 	if a.exchange.answerStarted {
 		return
@@ -257,19 +314,37 @@
 	w.WriteHeader(res.StatusCode)
 }
 
-// relayEvents writes complete events to the caller.
-func (a *routedAttempt) relayEvents(w http.ResponseWriter, writer *eventWriter, res *http.Response, events []byte) {
+// relayEvents writes complete events to the caller. It returns false, and writes nothing,
+// if another attempt has continued the answer.
+func (a *routedAttempt) relayEvents(w http.ResponseWriter, writer *eventWriter, res *http.Response, events []byte) bool {
 	first := a.result.EventCount == 0
-	undelivered := a.undeliveredEvents(events)
-	a.startAnswer(w, res)
-	if len(undelivered) > 0 && !a.exchange.callerDisconnected.Load() {
-		writer.write(undelivered)
-		writer.flush()
+	if !a.deliver(w, writer, res, events) {
+		return false
 	}
 	a.eventsArrived()
 	if first {
 		a.reportStage(state.AttemptFirstByte)
 	}
+	return true
+}
+
+func (a *routedAttempt) deliver(w http.ResponseWriter, writer *eventWriter, res *http.Response, events []byte) bool {
+	e := a.exchange
+	e.answerMu.Lock()
+	defer e.answerMu.Unlock()
+	if !a.continuesAnswer() {
+		return false
+	}
+	before := a.result.EventCount
+	undelivered := a.undeliveredEvents(events)
+	e.deliveringAttempt = a.start.Attempt
+	e.deliveredEvents += a.result.EventCount - before
+	a.startAnswer(w, res)
+	if len(undelivered) > 0 && !e.callerDisconnected.Load() {
+		writer.write(undelivered)
+		writer.flush()
+	}
+	return true
 }
 
 // undeliveredEvents returns the events that the caller does not have yet. It adds all
--- a/pkg/gateway/routedgateway.go
+++ b/pkg/gateway/routedgateway.go
@@ -7,8 +7,10 @@
 	"log/slog"
 	"net/http"
 	"net/url"
+	"runtime/debug"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -82,13 +84,20 @@
 type routedExchange struct {
 	*exchange
 	routedRequest state.RoutedRequest
-	// The fields below are used only by the goroutine of the request.
 
+	// answerMu guards the fields below and answerStarted, since two attempts run at the
+	// same time while a silent one stays open. It is held during a write to the caller.
+	answerMu sync.Mutex
+	// deliveringAttempt is the attempt that has delivered the last event, and
+	// deliveredEvents the number of events from all attempts. A buffered answer counts
+	// as one.
+	deliveringAttempt int
+	deliveredEvents   int
 	// bufferedAnswer is the complete answer of the last attempt. The caller receives it
 	// if the core's reply has UseBufferedAnswer.
 	bufferedAnswer *bufferedAnswer
 	// reservedBytes is the part of the gateway's bufferedBytes that is of this exchange.
-	reservedBytes int64
+	reservedBytes atomic.Int64
 	// lastEventID is the id of the last event that the caller has, or empty.
 	lastEventID string
 }
@@ -140,15 +149,21 @@
 	defer stop()
 	defer g.releaseBuffer(e)
 	g.daemon.Submit(e.request.arrival, e.exchange)
+	var attempts sync.WaitGroup
 	for {
 		select {
 		case start := <-e.starts:
 			e.attemptStarted = true
-			g.daemon.Feed(g.runAttempt(w, r, e, start))
+			if !start.KeepPrevious {
+				attempts.Wait()
+			}
+			attempts.Go(func() { g.daemon.Feed(g.runAttemptSafely(w, r, e, start)) })
 		case reply := <-e.reply:
+			attempts.Wait()
 			g.finishAnswer(w, e, reply)
 			return
 		case <-g.daemon.Done():
+			attempts.Wait()
 			select {
 			case reply := <-e.reply:
 				g.finishAnswer(w, e, reply)
@@ -204,15 +219,27 @@
 	writeJSON(w, status, errorBody{e})
 }
 
+// runAttemptSafely is runAttempt, except that a panic fails only the attempt. The HTTP
+// server recovers from panics in its own goroutines only.
+func (g *RoutedGateway) runAttemptSafely(w http.ResponseWriter, r *http.Request, e *routedExchange, start state.StartAttempt) (last state.AttemptEvent) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			g.log.Error("attempt panicked", "request", e.routedRequest.AttemptID, "cause", cause, "stack", string(debug.Stack()))
+			last = state.AttemptEvent{
+				Request: start.Request, Attempt: start.Attempt, Stage: state.AttemptEnded,
+				Failure: state.FailureConnectionLost, Outcome: apierror.Unknown,
+			}
+		}
+	}()
+	return g.runAttempt(w, r, e, start)
+}
+
 // runAttempt executes one attempt and returns its last event.
 func (g *RoutedGateway) runAttempt(w http.ResponseWriter, r *http.Request, e *routedExchange, start state.StartAttempt) state.AttemptEvent {
 	ctx, cancel := e.beginAttempt(start.Attempt)
-	defer e.endAttempt()
+	defer e.endAttempt(start.Attempt)
 	defer cancel(nil)
-	a := &routedAttempt{gateway: g, exchange: e, start: start, ctx: ctx, result: state.AttemptEvent{
-		Request: start.Request, Attempt: start.Attempt, Stage: state.AttemptEnded, Outcome: apierror.Unknown, AnswerStarted: e.answerStarted,
-	}}
-	g.releaseBuffer(e)
+	a := newRoutedAttempt(ctx, g, e, start)
 	if start.DecidedAt > 0 && g.daemon.Now()-start.DecidedAt > maxSendDelay {
 		a.result.Failure, a.result.Outcome = state.FailureDecisionExpired, apierror.NotRun
 		return a.result
@@ -291,7 +318,7 @@
 	a.gateway.headers.PrepareAttempt(req.Header, AttemptMetadata{
 		Instance: a.start.ExpectedInstance, Account: a.start.Account,
 		Timeout:     a.start.Timeout - (a.gateway.daemon.Now() - a.start.DecidedAt),
-		LastEventID: a.exchange.lastEventID,
+		LastEventID: a.lastEventID,
 	})
 	return req, nil
 }
