Let a begun answer wait for another target as long as its caller does

Callers saw a stream end without its answer as soon as its target was lost while the other groups were full: a request in the queue is refused once it is older than its latency objective, which ends with the first event, so each begun stream was refused at the next tick.

Cause: a decision for requests that have not begun was applied to answers that have, and that can only be continued or cut off.

Such a request now waits for the time in which its caller waits for the next event, also while no target is available, and gets a free slot first.

--- a/pkg/core/dispatch/attempt.go
+++ b/pkg/core/dispatch/attempt.go
@@ -221,7 +221,7 @@
 // is eligible.
 func (s *System) retry(now time.Duration, active *activeRequest, out *state.Outbox) {
 	if !s.place(now, active, out) {
-		active.req.Phase = state.RequestQueued
+		active.req.Phase, active.queuedAt = state.RequestQueued, now
 		active.pool.queue = append(active.pool.queue, active)
 	}
 }
--- a/pkg/core/dispatch/dispatch.go
+++ b/pkg/core/dispatch/dispatch.go
@@ -32,12 +32,17 @@
 	// priority is that of the client account, or of the route if the account has
 	// none. 0 is the most urgent.
 	priority int
+	// queuedAt is when the request was last queued for another attempt.
+	queuedAt time.Duration
 	// objectiveEnd is the time by which the latency objective must be met.
 	objectiveEnd time.Duration
 	// firstEventAt is when the first event of any attempt arrived; 0 before that.
 	firstEventAt time.Duration
 }
 
+// hasBegun reports whether the caller has received a part of the answer.
+func (a *activeRequest) hasBegun() bool { return a.firstEventAt > 0 }
+
 // System is the dispatch system. It reads Managed and Config. It writes the rows
 // of Requests, the counters StaleEvents, Retries and BudgetRefusals, and in
 // Managed Loads, StalledTargets, Demand and TrafficStarted.
--- a/pkg/core/dispatch/queue.go
+++ b/pkg/core/dispatch/queue.go
@@ -18,6 +18,12 @@
 	// which a request that still finds no target is refused and retried later by its
 	// caller.
 	maxQueueTimeRatio = 1.0
+	// Callers of the platform abandon a stream after a pause of minAbandonTime, of
+	// abandonObjectives latency objectives or of abandonGaps of the route's longest
+	// pauses between events, whichever is longest.
+	minAbandonTime    = 2 * time.Second
+	abandonObjectives = 4
+	abandonGaps       = 8
 	// minRetryAfter and maxRetryAfter bound the wait from which the Retry-After time is
 	// drawn. Callers wait for at most a third of the time left until their deadline.
 	minRetryAfter = 100 * time.Millisecond
@@ -112,7 +118,7 @@
 			if s.place(now, active, out) {
 				continue
 			}
-			if s.hasWaitedTooLong(now, active) || !s.hasAvailableTarget(now, pool) && !s.isAwaitingPauseEnd(now, active) {
+			if s.isWaitUseless(now, active) {
 				expected := s.expectedWait(now, pool, len(pool.queue))
 				s.refuse(now, active.req, overloaded().WithRetryAfter(s.retryAfter(active, now, max(expected, minRetryAfter))), out, s.overloadAttrs(pool, expected)...)
 			}
@@ -120,6 +126,25 @@
 	}
 }
 
+// isWaitUseless reports whether a queued request is to be refused: it has waited too
+// long, or no target is available. An answer that has begun can only be continued or cut
+// off, so its request waits for as long as its caller does.
+//
+// Load pattern: a full group is lost, and for a second or so the other groups have fewer
+// free slots than there are streams to continue. All these streams are older than the
+// latency objective, which ends with the first event.
+func (s *System) isWaitUseless(now time.Duration, active *activeRequest) bool {
+	if active.hasBegun() {
+		return now-active.queuedAt > abandonTime(active.req.Route)
+	}
+	return s.hasWaitedTooLong(now, active) || !s.hasAvailableTarget(now, active.pool) && !s.isAwaitingPauseEnd(now, active)
+}
+
+// abandonTime returns how long the caller of a stream waits for its next event.
+func abandonTime(route *state.Route) time.Duration {
+	return max(minAbandonTime, abandonObjectives*route.LatencyObjective, abandonGaps*route.MaxEventGap)
+}
+
 // hasWaitedTooLong reports whether a request has missed its latency objective in
 // the queue. Its answer would be of little use to the caller, and serving it would
 // make other requests miss their objectives.
@@ -128,12 +153,18 @@
 }
 
 // sortByUrgency returns queued requests in the order in which they get a target:
-// first those whose objective has not passed, then the late ones, each by priority
-// and by the end of the objective. A free slot goes to the most urgent request and
-// not to the oldest.
+// first those whose answer has begun, then those whose objective has not passed, then
+// the late ones, each by priority and by the end of the objective. A free slot goes to
+// the most urgent request and not to the oldest.
 func sortByUrgency(now time.Duration, queued []*activeRequest) []*activeRequest {
 	sorted := slices.Clone(queued)
 	slices.SortStableFunc(sorted, func(a, b *activeRequest) int {
+		if a.hasBegun() != b.hasBegun() {
+			if a.hasBegun() {
+				return -1
+			}
+			return 1
+		}
 		if aLate, bLate := now > a.objectiveEnd, now > b.objectiveEnd; aLate != bLate {
 			if aLate {
 				return 1
--- a/pkg/core/dispatch/silence_test.go
+++ b/pkg/core/dispatch/silence_test.go
@@ -190,6 +190,24 @@
 	g.Expect(r.lastAttempt(id).Attempt).To(gomega.Equal(2))
 }
 
+// TestBegunStreamsAreQueuedFirstAndNotForEver guards against begun streams that wait behind
+// requests without an answer, and against one that is held after its caller has left.
+func TestBegunStreamsAreQueuedFirstAndNotForEver(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t, 1)
+	id := r.sendRequest("/a/", 10)
+	r.reportStage(id, state.AttemptFirstByte)
+	r.advance(time.Second)
+	r.endAttemptOf(id, 1, state.FailureConnectionLost, apierror.Unknown)
+	route := r.system.activeRequests[id].req.Route
+	r.advance(abandonTime(route) - 20*time.Millisecond)
+	g.Expect(r.replyTo(id)).To(gomega.BeNil())
+	fresh := &activeRequest{objectiveEnd: r.now + time.Second}
+	g.Expect(sortByUrgency(r.now, []*activeRequest{fresh, r.system.activeRequests[id]})[0].hasBegun()).To(gomega.BeTrue())
+	r.advance(40 * time.Millisecond)
+	g.Expect(r.replyTo(id)).NotTo(gomega.BeNil())
+}
+
 // withoutEngineService writes a configuration without the routes to the engine service and
 // without the service.
 func (r *rig) withoutEngineService() {
