--- a/pkg/core/state/routedrequest.go
+++ b/pkg/core/state/routedrequest.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// PromptPartID identifies a part of prompts.
+type PromptPartID uint64
+
 // RoutedRequest holds the fields of a request whose route is selected by host name
 // and path.
 type RoutedRequest struct {
@@ -18,6 +21,9 @@
 	OutputTokens int
 	// OutputHint is the caller's estimate of the output in tokens; 0 means none.
 	OutputHint int
+	// PromptParts are the parts of the prompt that other requests may share, in
+	// their order. The part of the request itself is not among them.
+	PromptParts []PromptPartID
 	// HeaderBytes and BodyBytes are the sizes of the request's header and body.
 	HeaderBytes int
 	BodyBytes   int
