--- a/pkg/core/dispatch/attempt.go
+++ b/pkg/core/dispatch/attempt.go
@@ -239,10 +239,12 @@
 		s.placeQueued(now, out)
 		return
 	}
-	out.Log(event.AttemptFailed, slog.String("request", req.Arrival.Routed.AttemptID), slog.Int("attempt", ev.Attempt),
+	out.Log(event.AttemptFailed, appendParts([]slog.Attr{
+		slog.String("request", req.Arrival.Routed.AttemptID), slog.Int("attempt", ev.Attempt),
 		slog.String("target", string(t.id)), slog.String("group", string(t.group)), slog.String("failure", failureNames[ev.Failure]),
 		slog.String("outcome", string(ev.Outcome)), slog.Int("status", ev.Status), slog.Int("events", ev.EventCount),
-		slog.Duration("age", now-req.ArrivedAt), slog.String("at_fault", string(ev.FaultyHost)))
+		slog.Duration("age", now-req.ArrivedAt), slog.String("at_fault", string(ev.FaultyHost)),
+	}, req.Arrival.Routed, ev)...)
 	if active.fallback != nil {
 		req.TriedTargets = append(req.TriedTargets, req.Target)
 		s.resumeFallback(active)
--- /dev/null
+++ b/pkg/core/dispatch/partattr.go
@@ -0,0 +1,25 @@
+package dispatch
+
+import (
+	"log/slog"
+	"strconv"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+)
+
+// appendParts adds the shared parts of the prompt to the attributes of a failed attempt
+// whose connection was lost after the head of its answer and before its first event.
+func appendParts(attrs []slog.Attr, routed *state.RoutedRequest, ev state.AttemptEvent) []slog.Attr {
+	if len(routed.PromptParts) == 0 || !ev.LostBeforeFirstEvent() {
+		return attrs
+	}
+	// A part has at most 16 digits.
+	text := make([]byte, 0, 17*len(routed.PromptParts))
+	for i, part := range routed.PromptParts {
+		if i > 0 {
+			text = append(text, ',')
+		}
+		text = strconv.AppendUint(text, uint64(part), 16)
+	}
+	return append(attrs, slog.String("parts", string(text)))
+}
--- a/pkg/core/state/input.go
+++ b/pkg/core/state/input.go
@@ -242,6 +242,15 @@
 	EventCount int
 }
 
+// statusOK is the HTTP status of an answer that has begun.
+const statusOK = 200
+
+// LostBeforeFirstEvent reports whether the attempt ended because its connection was
+// lost after the head of an answer and before the first event.
+func (ev AttemptEvent) LostBeforeFirstEvent() bool {
+	return ev.Stage == AttemptEnded && ev.Failure == FailureConnectionLost && ev.Status == statusOK && ev.EventCount == 0
+}
+
 // TargetNotice reports what a target has said of itself in the header of any answer
 // to this node.
 type TargetNotice struct {
--- a/pkg/metric/metric_test.go
+++ b/pkg/metric/metric_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strconv"
 	"testing"
 	"time"
 
@@ -73,6 +74,50 @@
 	))
 }
 
+// TestTargetsLostBeforeFirstEvent guards against a lost target that counts once for each
+// of its streams, which would hide whether one request or the load ends targets, and
+// against a count of attempts that had an event, that were cancelled, or that are no
+// streams.
+func TestTargetsLostBeforeFirstEvent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := metric.New()
+	now := time.Second
+	count := 0
+	loseStream := func(instance state.HostID, startID int64, edit func(*state.StartAttempt, *state.AttemptEvent)) {
+		count++
+		id := state.RequestID(strconv.Itoa(count))
+		start := state.StartAttempt{Request: id, Attempt: 1, ExpectedInstance: instance, StartID: startID, StallAfter: time.Second}
+		end := state.AttemptEvent{Request: id, Attempt: 1, Stage: state.AttemptEnded, Failure: state.FailureConnectionLost, Status: 200}
+		if edit != nil {
+			edit(&start, &end)
+		}
+		r.Step(now, state.RequestArrived{ID: id}, []state.Output{start}, 0)
+		r.Step(now, end, []state.Output{state.Reply{Request: id}}, 0)
+	}
+	expect := func(n int, what string) {
+		t.Helper()
+		g.Expect(renderMetrics(r)).To(gomega.ContainSubstring("apricotgrade_targets_lost_before_first_event_total "+strconv.Itoa(n)+"\n"), what)
+	}
+	expect(0, "no loss")
+	loseStream("a", 1, func(_ *state.StartAttempt, end *state.AttemptEvent) { end.EventCount = 1 })
+	loseStream("a", 1, func(_ *state.StartAttempt, end *state.AttemptEvent) { end.Status = 0 })
+	loseStream("a", 1, func(_ *state.StartAttempt, end *state.AttemptEvent) { end.Failure = state.FailureCancelled })
+	loseStream("a", 1, func(start *state.StartAttempt, _ *state.AttemptEvent) { start.StallAfter = 0 })
+	expect(0, "other ends")
+	loseStream("a", 1, nil)
+	loseStream("a", 1, nil)
+	expect(1, "two streams of one process")
+	loseStream("b", 1, nil)
+	expect(2, "another target")
+	loseStream("a", 2, nil)
+	expect(3, "another process of the target")
+	loseStream("c", 1, func(start *state.StartAttempt, end *state.AttemptEvent) { start.Attempt, end.Attempt = 2, 2 })
+	expect(4, "second attempt")
+	now += time.Minute
+	loseStream("a", 1, nil)
+	expect(5, "much later")
+}
+
 // TestConnectionsClosedWithoutAnswer guards against aborted answers that are counted
 // without their code.
 func TestConnectionsClosedWithoutAnswer(t *testing.T) {
--- a/pkg/metric/request.go
+++ b/pkg/metric/request.go
@@ -17,6 +17,7 @@
 	arrived *metrics.Counter
 	retries *metrics.Counter
 	resumes *metrics.Counter
+	losses  *lossMetrics
 }
 
 // openRequest is a request that has no reply yet. Times are on the node's clock.
@@ -25,6 +26,7 @@
 	arrivedAt time.Duration
 	started   bool
 	firstByte bool
+	streams   streamAttempts
 }
 
 func newRequestMetrics(set *metrics.Set) *requestMetrics {
@@ -33,6 +35,7 @@
 		arrived: set.NewCounter("apricotgrade_requests_total"),
 		retries: set.NewCounter("apricotgrade_retries_total"),
 		resumes: set.NewCounter("apricotgrade_resumes_total"),
+		losses:  newLossMetrics(set),
 	}
 	set.NewGauge("apricotgrade_requests_open", nil)
 	return r
@@ -69,6 +72,9 @@
 func (r *requestMetrics) recordAttemptEvent(now time.Duration, ev state.AttemptEvent) {
 	if ev.Stage == state.AttemptEnded {
 		r.set.GetOrCreateCounter(fmt.Sprintf("apricotgrade_attempts_ended_total{failure=%q}", failureLabels[ev.Failure])).Inc()
+		if req := r.open[ev.Request]; req != nil && ev.LostBeforeFirstEvent() {
+			r.losses.record(now, req.streams.target(ev.Attempt))
+		}
 		return
 	}
 	if req := r.open[ev.Request]; req != nil && !req.firstByte {
@@ -94,7 +100,14 @@
 	case out.Attempt > 1:
 		r.retries.Inc()
 	}
-	if req := r.open[out.Request]; req != nil && !req.started {
+	req := r.open[out.Request]
+	if req == nil {
+		return
+	}
+	if out.StallAfter > 0 {
+		req.streams.add(out)
+	}
+	if !req.started {
 		req.started = true
 		r.observeSinceArrival("waiting", req, now)
 	}
