Find prompt parts that end targets, at all nodes

One part of the prompts ends each replica group that begins to answer on it, and nothing relates the end of a target to the parts of the request that had just begun there.

Change: pkg/core/quarantine keeps the evidence by part: crashes (an answer begun, connection lost before the first event; one for each process) and starts, which clear them. A part with crashes of three processes and no start is in quarantine. Crashes and clears form a set that only grows and are sent to all peers, through hubs where there are any, and to each peer whose link comes up. Two rules against false evidence: a process that delivers an event of a request sent later clears its crashes, and a part that has started at this node lately waits for 40 other starts. Nothing uses the quarantine yet.

Ruled out: a quarantine at the first crash, of all parts or of the first part.

--- a/pkg/core/inventory/departure.go
+++ b/pkg/core/inventory/departure.go
@@ -52,14 +52,8 @@
 }
 
 func (s *System) relayDeparture(departure state.Departure, from state.NodeID, out *state.Outbox) {
-	if from != "" && !s.hubs[s.tables.Self.ID] {
-		return
-	}
-	for _, id := range state.SortedKeys(s.linkedPeers) {
-		// A departure from a hub has been sent to all hubs.
-		if id != from && (from == "" || !s.hubs[id] || !s.hubs[from]) {
-			out.Add(state.SendPeer{To: id, Message: state.Message{Departure: &departure}})
-		}
+	for _, id := range s.managed.RelayTargets(s.tables.Self.ID, from) {
+		out.Add(state.SendPeer{To: id, Message: state.Message{Departure: &departure}})
 	}
 }
 
--- a/pkg/core/inventory/hub.go
+++ b/pkg/core/inventory/hub.go
@@ -40,6 +40,7 @@
 // all hubs, leaves with hubs of their own data centre.
 func (s *System) setPeers(out *state.Outbox) {
 	s.hubs = chooseHubs(s.managed.Nodes)
+	s.managed.Hubs = s.hubs
 	var peers []state.NodeEntry
 	isHub := s.hubs[s.tables.Self.ID]
 	for id, row := range s.managed.Nodes.All() {
--- a/pkg/core/inventory/inventory.go
+++ b/pkg/core/inventory/inventory.go
@@ -72,7 +72,8 @@
 	peerAheadSince      [3]time.Duration
 	nextRegisterAt      time.Duration
 	registerCallID      uint64
-	linkedPeers         map[state.NodeID]bool
+	// linkedPeers is ManagedState.LinkedPeers.
+	linkedPeers map[state.NodeID]bool
 	// peerStatuses holds the last status of each linked peer.
 	peerStatuses map[state.NodeID]*state.PeerStatus
 	// lastReachableAt is when a node was last reachable for this node or for a
@@ -93,7 +94,7 @@
 	return &System{
 		tables: t, managed: t.Managed, expiredInstances: state.NewDueQueue[state.HostID](),
 		restoration: newRestoration(), startup: newStartup(),
-		linkedPeers: map[state.NodeID]bool{}, peerStatuses: map[state.NodeID]*state.PeerStatus{},
+		linkedPeers: t.Managed.LinkedPeers, peerStatuses: map[state.NodeID]*state.PeerStatus{},
 		lastReachableAt: map[state.NodeID]time.Duration{},
 	}
 }
--- /dev/null
+++ b/pkg/core/quarantine/quarantine.go
@@ -0,0 +1,121 @@
+package quarantine
+
+import (
+	"fmt"
+	"log/slog"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	"github.com/apricotgrade/apricotgrade/pkg/event"
+)
+
+const (
+	// maxCrashesPerMessage bounds a report, and maxCrashesAtLinkUp the evidence that a
+	// peer gets when its link comes up.
+	maxCrashesPerMessage = 64
+	maxCrashesAtLinkUp   = 512
+)
+
+// System is the quarantine system. It reads the rows of Requests as they were before
+// the input, so it comes before the dispatch system. It writes QuarantinedParts and
+// QuarantineVersion of Managed.
+//
+// The evidence is spread to all nodes as it arises. It is rare: a crash has one entry
+// for each part of one request, and a clear is sent only for a crash that is known.
+type System struct {
+	tables  *state.Tables
+	managed *state.ManagedState
+	ledger  *Ledger
+}
+
+// New returns the quarantine system.
+func New(t *state.Tables) *System {
+	s := &System{tables: t, managed: t.Managed, ledger: NewLedger()}
+	s.managed.QuarantinedParts = s.ledger.Quarantined()
+	return s
+}
+
+// Step implements state.System.
+func (s *System) Step(now time.Duration, in state.Input, out *state.Outbox) {
+	from := state.NodeID("")
+	switch in := in.(type) {
+	case state.RequestArrived:
+		if in.Routed != nil {
+			s.ledger.Arrive(now, in.Routed.PromptParts)
+		}
+	case state.AttemptEvent:
+		s.handleAttemptEvent(now, in, out)
+	case state.PeerMessage:
+		if report := in.Message.PromptPartReport; report != nil {
+			from = in.From
+			s.spread(s.ledger.Merge(now, report.Crashes), from, out)
+		}
+	case state.PeerLinkChanged:
+		if in.Up {
+			send(s.ledger.Crashes(maxCrashesAtLinkUp), in.Peer, out)
+		}
+	case state.Tick:
+		s.ledger.Tick(now)
+	}
+	s.logTransitions(from, out)
+}
+
+// handleAttemptEvent adds what an attempt shows on the parts of its request.
+func (s *System) handleAttemptEvent(now time.Duration, ev state.AttemptEvent, out *state.Outbox) {
+	req := s.tables.Requests.Get(ev.Request)
+	if req == nil || len(req.PromptParts) == 0 || !req.IsCurrent(ev) {
+		return
+	}
+	process := Process{Host: state.HostID(req.Target), StartID: req.TargetStartID}
+	switch {
+	case isStart(ev):
+		s.spread(s.ledger.Start(now, process, req.SentAt, req.PromptParts), "", out)
+	case isCrash(ev) && req.Phase != state.RequestEnded:
+		s.spread(s.ledger.Crash(now, process, req.PromptParts), "", out)
+	}
+}
+
+// isStart reports whether an event shows that a target could answer a request. The end
+// of an attempt with events is no second start.
+func isStart(ev state.AttemptEvent) bool {
+	return ev.Stage == state.AttemptFirstByte || ev.Stage == state.AttemptEnded && ev.Failure == state.FailureNone && ev.EventCount == 0
+}
+
+// isCrash reports whether an event is the loss of an answer that had begun and had no
+// event yet. Requests without the beginning of an answer waited at the target when it
+// ended, those with events had begun before.
+func isCrash(ev state.AttemptEvent) bool {
+	return ev.Stage == state.AttemptEnded && ev.Failure == state.FailureConnectionLost && ev.Status == http.StatusOK && ev.EventCount == 0
+}
+
+// spread sends evidence to all nodes.
+func (s *System) spread(crashes []state.PromptPartCrash, from state.NodeID, out *state.Outbox) {
+	if len(crashes) == 0 {
+		return
+	}
+	for _, id := range s.managed.RelayTargets(s.tables.Self.ID, from) {
+		send(crashes, id, out)
+	}
+}
+
+func send(crashes []state.PromptPartCrash, to state.NodeID, out *state.Outbox) {
+	for chunk := range slices.Chunk(crashes, maxCrashesPerMessage) {
+		out.Add(state.SendPeer{To: to, Message: state.Message{PromptPartReport: &state.PromptPartReport{Crashes: chunk}}})
+	}
+}
+
+// logTransitions logs the quarantines that have begun or ended in this step. from is the
+// peer whose report led to it, empty for this node.
+func (s *System) logTransitions(from state.NodeID, out *state.Outbox) {
+	for _, t := range s.ledger.Transitions() {
+		part := slog.String("part", fmt.Sprintf("%x", uint64(t.Part)))
+		if t.Quarantined {
+			s.managed.QuarantineVersion++
+			out.Log(event.PromptPartQuarantined, part, slog.Int("targets", t.Targets), slog.String("from", string(from)))
+			continue
+		}
+		out.Log(event.PromptPartReleased, part, slog.Bool("reviewed", t.Reviewed), slog.String("from", string(from)))
+	}
+}
--- /dev/null
+++ b/pkg/core/quarantine/replay_test.go
@@ -0,0 +1,309 @@
+package quarantine
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+)
+
+// rule decides at each node which requests are refused.
+type rule interface {
+	crash(node int, p Process, parts []state.PromptPartID)
+	start(node int, p Process, sentAt time.Duration, parts []state.PromptPartID)
+	refuses(node int, parts []state.PromptPartID) bool
+}
+
+// noRule runs all requests.
+type noRule struct{}
+
+func (noRule) crash(int, Process, []state.PromptPartID)                {}
+func (noRule) start(int, Process, time.Duration, []state.PromptPartID) {}
+func (noRule) refuses(int, []state.PromptPartID) bool                  { return false }
+
+// firstCrashRule refuses all parts of each request that crashed at any node, or only the
+// first ones.
+type firstCrashRule struct {
+	noRule
+	quarantined   map[state.PromptPartID]bool
+	onlyFirstPart bool
+}
+
+func (r firstCrashRule) crash(_ int, _ Process, parts []state.PromptPartID) {
+	if r.onlyFirstPart {
+		parts = parts[:1]
+	}
+	for _, part := range parts {
+		r.quarantined[part] = true
+	}
+}
+
+func (r firstCrashRule) refuses(_ int, parts []state.PromptPartID) bool {
+	return slices.ContainsFunc(parts, func(part state.PromptPartID) bool { return r.quarantined[part] })
+}
+
+// ledgerRule is the rule under test: each node has a ledger, and what one learns reaches
+// the others after messageTime.
+type ledgerRule struct {
+	replay  *replay
+	ledgers []*Ledger
+}
+
+func newLedgerRule(p *replay) *ledgerRule {
+	r := &ledgerRule{replay: p}
+	for range replayNodes {
+		r.ledgers = append(r.ledgers, NewLedger())
+	}
+	return r
+}
+
+func (r *ledgerRule) spread(from int, news []state.PromptPartCrash) {
+	for i, l := range r.ledgers {
+		if i != from {
+			r.replay.after(messageTime, func() { l.Merge(r.replay.now, news) })
+		}
+	}
+}
+
+func (r *ledgerRule) crash(node int, p Process, parts []state.PromptPartID) {
+	r.spread(node, r.ledgers[node].Crash(r.replay.now, p, parts))
+}
+
+func (r *ledgerRule) start(node int, p Process, sentAt time.Duration, parts []state.PromptPartID) {
+	r.spread(node, r.ledgers[node].Start(r.replay.now, p, sentAt, parts))
+}
+
+func (r *ledgerRule) refuses(node int, parts []state.PromptPartID) bool {
+	return slices.ContainsFunc(parts, r.ledgers[node].isQuarantined)
+}
+
+// replay runs a load over targets that end when they begin to answer a request with the
+// part at fault, or by themselves.
+type replay struct {
+	rule   rule
+	rnd    *rand.Rand
+	now    time.Duration
+	events replayEvents
+	seq    int
+	alive  []bool
+	starts []int64
+	// open holds the requests at each target that have no event yet.
+	open [][]*replayRequest
+
+	ends, faultySent, soundSent, soundRefused int
+}
+
+type replayRequest struct {
+	node   int
+	parts  []state.PromptPartID
+	target int
+	sentAt time.Duration
+	begun  bool
+	ended  bool
+}
+
+type replayEvent struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type replayEvents []replayEvent
+
+func (h replayEvents) Len() int { return len(h) }
+func (h replayEvents) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h replayEvents) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *replayEvents) Push(x any)   { *h = append(*h, x.(replayEvent)) }
+func (h *replayEvents) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+const (
+	replayNodes    = 6
+	replayTargets  = 12
+	messageTime    = 5 * time.Millisecond
+	replayTime     = 60 * time.Second
+	restartTime    = 5 * time.Second
+	firstEventTime = 60 * time.Millisecond
+)
+
+func newReplay(seed uint64) *replay {
+	p := &replay{rule: noRule{}, rnd: rand.New(rand.NewPCG(seed, 3)), alive: make([]bool, replayTargets), starts: make([]int64, replayTargets), open: make([][]*replayRequest, replayTargets)}
+	for i := range p.alive {
+		p.alive[i] = true
+	}
+	return p
+}
+
+func (p *replay) after(d time.Duration, run func()) {
+	p.seq++
+	heap.Push(&p.events, replayEvent{p.now + d, p.seq, run})
+}
+
+func (p *replay) every(mean time.Duration, run func()) {
+	var next func()
+	next = func() {
+		run()
+		p.after(time.Duration(p.rnd.ExpFloat64()*float64(mean)), next)
+	}
+	p.after(time.Duration(p.rnd.ExpFloat64()*float64(mean)), next)
+}
+
+func (p *replay) run() {
+	for p.events.Len() > 0 && p.events[0].at < replayTime {
+		e := heap.Pop(&p.events).(replayEvent)
+		p.now = e.at
+		e.run()
+	}
+}
+
+// sendSound sends a request of one of five first parts, one of 40 common second parts and
+// a third part that only about four requests share.
+func (p *replay) sendSound() {
+	parts := parts(state.PromptPartID(1+p.rnd.IntN(5)), state.PromptPartID(100+p.rnd.IntN(40)), state.PromptPartID(1000+int(p.now/(40*time.Millisecond))))
+	node := p.rnd.IntN(replayNodes)
+	if p.rule.refuses(node, parts) {
+		p.soundRefused++
+		return
+	}
+	p.soundSent++
+	p.place(&replayRequest{node: node, parts: parts}, false, 2)
+}
+
+func (p *replay) sendFaulty() {
+	parts := parts(state.PromptPartID(1+p.rnd.IntN(5)), faulty, state.PromptPartID(100+p.rnd.IntN(40)))
+	if node := p.rnd.IntN(replayNodes); !p.rule.refuses(node, parts) {
+		p.place(&replayRequest{node: node, parts: parts}, true, 2)
+	}
+}
+
+// place sends a request to a random target, where it waits, begins its answer and
+// delivers an event. A request without an event is repeated once.
+func (p *replay) place(req *replayRequest, isFaulty bool, attempts int) {
+	if isFaulty {
+		p.faultySent++
+	}
+	i := p.rnd.IntN(replayTargets)
+	if !p.alive[i] {
+		return
+	}
+	req.target, req.sentAt = i, p.now
+	p.open[i] = append(p.open[i], req)
+	process := Process{process(i).Host, p.starts[i]}
+	p.after(time.Duration(p.rnd.IntN(300))*time.Millisecond, func() {
+		if req.ended {
+			p.repeat(req, isFaulty, attempts)
+			return
+		}
+		req.begun = true
+		if isFaulty {
+			p.end(i)
+			p.repeat(req, isFaulty, attempts)
+			return
+		}
+		p.after(firstEventTime, func() {
+			if req.ended {
+				p.repeat(req, isFaulty, attempts)
+				return
+			}
+			req.ended = true
+			p.rule.start(req.node, process, req.sentAt, req.parts)
+		})
+	})
+}
+
+func (p *replay) repeat(req *replayRequest, isFaulty bool, attempts int) {
+	if attempts > 1 && !p.rule.refuses(req.node, req.parts) {
+		p.place(&replayRequest{node: req.node, parts: req.parts}, isFaulty, attempts-1)
+	}
+}
+
+// end ends a target with all its requests.
+func (p *replay) end(i int) {
+	if !p.alive[i] {
+		return
+	}
+	p.ends++
+	p.alive[i] = false
+	for _, req := range p.open[i] {
+		if req.begun && !req.ended {
+			p.rule.crash(req.node, Process{process(i).Host, p.starts[i]}, req.parts)
+		}
+		req.ended = true
+	}
+	p.open[i] = nil
+	p.after(restartTime, func() { p.alive[i] = true; p.starts[i]++ })
+}
+
+// TestReplayOfPartAtFault replays the load pattern of this package with no rule, with
+// two plain rules and with the ledger. It guards against targets that go on ending, and
+// against a rule that refuses sound requests.
+func TestReplayOfPartAtFault(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for seed := range uint64(5) {
+		run := func(newRule func(p *replay) rule) *replay {
+			p := newReplay(seed)
+			p.rule = newRule(p)
+			p.every(10*time.Millisecond, p.sendSound)
+			p.after(10*time.Second, func() { p.every(200*time.Millisecond, p.sendFaulty) })
+			p.run()
+			return p
+		}
+		off := run(func(*replay) rule { return noRule{} })
+		firstCrash := run(func(*replay) rule { return firstCrashRule{quarantined: map[state.PromptPartID]bool{}} })
+		firstPart := run(func(*replay) rule {
+			return firstCrashRule{quarantined: map[state.PromptPartID]bool{}, onlyFirstPart: true}
+		})
+		ledger := run(func(p *replay) rule { return newLedgerRule(p) })
+		for i, p := range []*replay{off, firstCrash, firstPart, ledger} {
+			t.Logf("seed %d, %s: %d targets ended, %d requests with the part sent, %d of %d sound requests refused",
+				seed, []string{"off", "first crash", "first part", "ledger"}[i], p.ends, p.faultySent, p.soundRefused, p.soundSent+p.soundRefused)
+		}
+		g.Expect(off.ends).To(gomega.BeNumerically(">", 50))
+		g.Expect(ledger.ends).To(gomega.BeNumerically("<=", 2*minCrashes))
+		g.Expect(ledger.soundRefused).To(gomega.BeZero())
+		for _, plain := range []*replay{firstCrash, firstPart} {
+			g.Expect(plain.soundRefused).To(gomega.BeNumerically(">", 500))
+		}
+	}
+}
+
+// TestReplayOfRandomEnds replays targets that end by themselves, one at a time and all at
+// once, without a part at fault. It guards against the refusal of sound requests, also of
+// those with a part that only four requests share.
+func TestReplayOfRandomEnds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for seed := range uint64(10) {
+		p := newReplay(seed)
+		rule := newLedgerRule(p)
+		p.rule = rule
+		p.every(10*time.Millisecond, p.sendSound)
+		p.every(500*time.Millisecond, func() { p.end(p.rnd.IntN(replayTargets)) })
+		p.every(10*time.Second, func() {
+			for i := range replayTargets {
+				p.end(i)
+			}
+		})
+		crashes := 0
+		p.every(time.Second, func() {
+			for _, l := range rule.ledgers {
+				crashes = max(crashes, len(l.Crashes(1000)))
+				l.Tick(p.now)
+			}
+		})
+		p.run()
+		t.Logf("seed %d: %d targets ended, at most %d crashes known at a time, %d of %d requests refused", seed, p.ends, crashes, p.soundRefused, p.soundSent+p.soundRefused)
+		g.Expect(p.ends).To(gomega.BeNumerically(">", 60))
+		g.Expect(crashes).To(gomega.BeNumerically(">", 10))
+		g.Expect(p.soundRefused).To(gomega.BeZero())
+	}
+}
--- a/pkg/core/state/managedstate.go
+++ b/pkg/core/state/managedstate.go
@@ -30,6 +30,17 @@
 	// Nodes holds the registered entry daemons, this one included. Written by
 	// the inventory system.
 	Nodes *Table[NodeID, RegisteredNode]
+	// LinkedPeers is the set of peers whose links are up. Written by the inventory system.
+	LinkedPeers map[NodeID]bool
+	// Hubs is the set of nodes that relay messages to all nodes, nil if all nodes are
+	// linked with each other. Written by the inventory system.
+	Hubs map[NodeID]bool
+	// QuarantinedParts holds the prompt parts whose requests are not run, with the time
+	// at which the quarantine is reviewed. Written by the quarantine system.
+	QuarantinedParts map[PromptPartID]time.Duration
+	// QuarantineVersion counts the parts that were put into quarantine. Written by the
+	// quarantine system.
+	QuarantineVersion uint64
 	// Lease is the row of the formation lease. Written by the inventory system.
 	Lease FormationLease
 	// Tables holds the revision and the age of each table of the platform. Written
@@ -84,8 +95,8 @@
 func NewManagedState() *ManagedState {
 	m := &ManagedState{
 		Evacuated: map[DataCentre]bool{}, Instances: NewTable[HostID, Instance](), Departures: map[HostID]Departure{},
-		PausedTargets: map[HostID]TargetPause{},
-		Nodes:         NewTable[NodeID, RegisteredNode](), StalledTargets: map[HostID]time.Duration{},
+		PausedTargets: map[HostID]TargetPause{}, LinkedPeers: map[NodeID]bool{}, QuarantinedParts: map[PromptPartID]time.Duration{},
+		Nodes: NewTable[NodeID, RegisteredNode](), StalledTargets: map[HostID]time.Duration{},
 		PeerStalledTargets: map[HostID]time.Duration{}, GloballyStalledTargets: map[HostID]time.Duration{}, Loads: map[HostID]*TargetLoad{},
 		PeerLoads: map[NodeID][]TargetLoad{}, PeerStatusAt: map[NodeID]time.Duration{},
 		EraSince: -1, StoreRecoveredAt: -1, Demand: map[string]float64{}, PeerDemand: map[NodeID]map[string]float64{},
--- a/pkg/core/state/message.go
+++ b/pkg/core/state/message.go
@@ -27,6 +27,8 @@
 	HistoryRequest *HistoryRequest `cbor:"17,keyasint,omitempty"`
 	History        *History        `cbor:"18,keyasint,omitempty"`
 	Departure      *Departure      `cbor:"19,keyasint,omitempty"`
+
+	PromptPartReport *PromptPartReport `cbor:"20,keyasint,omitempty"`
 }
 
 // LeaseHandover transfers the formation lease to a peer during an outage of the
--- a/pkg/core/state/row.go
+++ b/pkg/core/state/row.go
@@ -339,6 +339,9 @@
 	Target    TargetID
 	Attempt   int
 	SentAt    time.Duration
+	// TargetStartID identifies the process of Target to which the last attempt was
+	// sent. Set for routed requests.
+	TargetStartID int64
 	// TriedTargets lists the targets of failed attempts.
 	TriedTargets []TargetID
 	// AnswerStarted is set once a byte of the answer was sent to the caller.
@@ -368,6 +371,9 @@
 	Account AccountID
 	// Service is the service that a routed request goes to.
 	Service string
+	// PromptParts holds the shared parts of the prompt of a routed request that goes
+	// to an engine.
+	PromptParts []PromptPartID
 }
 
 // ClaimPhase is the phase of a claim.
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -94,6 +94,9 @@
 	TargetStalled       ID = 1307
 	TargetStallEnded    ID = 1308
 	FallbackResumed     ID = 1309
+
+	PromptPartQuarantined ID = 1310
+	PromptPartReleased    ID = 1311
 )
 
 // Events of the process: 1400 to 1499.
@@ -197,6 +200,8 @@
 	{TargetStalled, Warn, "all streams of a target stalled"},
 	{TargetStallEnded, Info, "target sends stream events again"},
 	{FallbackResumed, Info, "silent target sends again; its stream continues there"},
+	{PromptPartQuarantined, Warn, "part of prompts put into quarantine"},
+	{PromptPartReleased, Info, "part of prompts released from quarantine"},
 	{NodeStarted, Info, "node started"},
 	{NodeReady, Info, "node ready"},
 	{NodeDraining, Info, "graceful shutdown started"},
--- a/pkg/peer/frame_test.go
+++ b/pkg/peer/frame_test.go
@@ -27,3 +27,22 @@
 		t.Error("a frame without a message is accepted")
 	}
 }
+
+// TestPromptPartReportSurvivesFrame guards against evidence that peers read differently
+// from what was sent, as a part with all 64 bits or a clear that arrives as a crash.
+func TestPromptPartReportSurvivesFrame(t *testing.T) {
+	sent := state.Message{PromptPartReport: &state.PromptPartReport{Crashes: []state.PromptPartCrash{
+		{Part: 1<<64 - 1, Host: "i-1", StartID: 1_764_856_000_123}, {Part: 0xfa, Host: "i-2", StartID: -1, Cleared: true}, {},
+	}}}
+	frame, err := encodeMessage(sent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	received, err := decodeMessage(frame)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(sent, received) {
+		t.Errorf("sent %+v, received %+v", sent.PromptPartReport, received.PromptPartReport)
+	}
+}
