Refuse requests with a prompt part that ends targets

Callers of all classes saw refusals and streams that broke off, because one part of the prompts ended one target after another: requests with it were placed and repeated as if nothing had happened, and each ended one or two replica groups. Class of fault: nothing related the end of a target to the work that it had just begun, and each node judged for itself.

While a part is in quarantine, new requests with it are refused at once as not run (code prompt_part_quarantined, Retry-After until the review), queued ones are refused, attempts without an event are cancelled and end with unknown outcome, and none is repeated. Streams with events go on. Requests to plain services and the last part of a prompt are never judged. A request lost with the beginning of its answer is repeated until then: a part at fault ends the same number of targets either way, and a repeat that starts clears sound parts. An answer that belongs to another request, or that no target has signed, is no sign that a target ended, nor is the loss of a stream that had begun elsewhere.

--- a/pkg/core/core.go
+++ b/pkg/core/core.go
@@ -15,6 +15,7 @@
 	"github.com/apricotgrade/apricotgrade/pkg/core/lifecycle"
 	"github.com/apricotgrade/apricotgrade/pkg/core/membership"
 	"github.com/apricotgrade/apricotgrade/pkg/core/placement"
+	"github.com/apricotgrade/apricotgrade/pkg/core/quarantine"
 	"github.com/apricotgrade/apricotgrade/pkg/core/retry"
 	"github.com/apricotgrade/apricotgrade/pkg/core/routing"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
@@ -77,6 +78,7 @@
 		systems: []state.System{
 			inventory.New(t),
 			formation.New(t),
+			quarantine.New(t),
 			dispatch.New(t),
 			lifecycle.New(t),
 		},
--- a/pkg/core/dispatch/attempt.go
+++ b/pkg/core/dispatch/attempt.go
@@ -207,7 +207,7 @@
 // retry budget allow one more attempt. A node that no longer admits requests
 // starts none.
 func (s *System) mayRetry(now time.Duration, active *activeRequest) bool {
-	if active.attempts >= active.req.Route.MaxAttempts || now >= active.req.Deadline || s.tables.Draining && s.admissionClosed(now) {
+	if active.attempts >= active.req.Route.MaxAttempts || now >= active.req.Deadline || s.tables.Draining && s.admissionClosed(now) || s.isQuarantined(active.req) {
 		return false
 	}
 	if s.retryBudget(active.req.Service).remaining(now, newRetryLimit(&s.tables.Self, active.req.Service, s.managed.Nodes.Len(), now)) <= 0 {
@@ -305,6 +305,9 @@
 
 // failureRefusal returns the error for a request whose last attempt failed.
 func (s *System) failureRefusal(now time.Duration, active *activeRequest) *apierror.Error {
+	if s.isQuarantined(active.req) {
+		return s.quarantineRefusal(now, active.req)
+	}
 	if !active.req.MayHaveRun {
 		return unavailable("target_refused",
 			"the target did not run the request; send it again").WithRetryAfter(s.retryAfter(active, now, targetRefusedRetryAfter))
--- a/pkg/core/dispatch/dispatch.go
+++ b/pkg/core/dispatch/dispatch.go
@@ -65,6 +65,9 @@
 	failovers *state.DueQueue[state.RequestID]
 	deletions *state.DueQueue[state.RequestID]
 	demand    map[string]*decayingRate
+	// quarantineVersion is the QuarantineVersion up to which open requests have been
+	// ended.
+	quarantineVersion uint64
 	// admissionClosesAt is negative until a shutdown starts.
 	admissionClosesAt time.Duration
 }
@@ -106,6 +109,7 @@
 		s.publishDemand(now)
 		s.clearSuspects(now, out)
 	}
+	s.endQuarantined(now, out)
 	s.runTimers(now, out)
 }
 
@@ -165,7 +169,7 @@
 	if route.Timeout > 0 {
 		req.Deadline = min(req.Deadline, now+route.Timeout)
 	}
-	return nil
+	return s.checkPromptParts(now, req)
 }
 
 // checkSize returns an error if a request exceeds the configured size limits. A
--- a/pkg/core/dispatch/fallback.go
+++ b/pkg/core/dispatch/fallback.go
@@ -53,7 +53,8 @@
 // resumeFallback makes the fallback the running attempt, which still counts as stalled.
 func (s *System) resumeFallback(active *activeRequest) {
 	req, fallback, t := active.req, active.fallback, active.fallback.target
-	req.Attempt, req.LastEndedAttempt, req.Target, req.Phase = fallback.number, fallback.number-1, state.TargetID(t.id), state.RequestSent
+	req.Attempt, req.LastEndedAttempt, req.Phase = fallback.number, fallback.number-1, state.RequestSent
+	req.Target, req.TargetStartID = state.TargetID(t.id), t.startID
 	active.target, active.firstEventSeen, active.stalled, active.fallback = t, fallback.begun, true, nil
 	t.activeRequests[req.Arrival.ID] = active
 	t.stalledCount++
--- a/pkg/core/dispatch/place.go
+++ b/pkg/core/dispatch/place.go
@@ -166,7 +166,7 @@
 	s.removeFromQueue(active)
 	routed := req.Arrival.Routed
 	predicted := s.cost(now, t, active)
-	req.Phase, req.Target, req.SentAt = state.RequestSent, state.TargetID(t.id), now
+	req.Phase, req.Target, req.TargetStartID, req.SentAt = state.RequestSent, state.TargetID(t.id), t.startID, now
 	active.attempts++
 	req.Attempt = active.attempts
 	active.target, active.firstEventSeen, active.stalled = t, false, false
--- a/pkg/core/dispatch/rig_test.go
+++ b/pkg/core/dispatch/rig_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/apricotgrade/apricotgrade/pkg/apierror"
+	"github.com/apricotgrade/apricotgrade/pkg/core/quarantine"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 )
 
@@ -22,6 +23,7 @@
 type rig struct {
 	t            *testing.T
 	tables       *state.Tables
+	quarantine   *quarantine.System
 	system       *System
 	now          time.Duration
 	requestCount int
@@ -36,7 +38,7 @@
 func newRig(t *testing.T, groups int) *rig {
 	tables := state.NewTables(state.Self{ID: "n1", DataCentre: "a", DrainNotice: 2 * time.Second, RetryRatio: 0.2, RetryBase: 130}, state.Switches{}, 7)
 	tables.Managed = state.NewManagedState()
-	r := &rig{t: t, tables: tables, system: New(tables), now: time.Second}
+	r := &rig{t: t, tables: tables, quarantine: quarantine.New(tables), system: New(tables), now: time.Second}
 	tables.Config.Fresh, tables.Config.Loaded = true, true
 	tables.Managed.PlatformConfig = platformConfig(1)
 	for i := range groups {
@@ -81,6 +83,7 @@
 
 func (r *rig) step(in state.Input) {
 	var out state.Outbox
+	r.quarantine.Step(r.now, in, &out)
 	r.system.Step(r.now, in, &out)
 	for _, o := range out.Outputs {
 		switch o := o.(type) {
@@ -104,11 +107,16 @@
 
 // sendRequest feeds a request for a path to the node and returns its id.
 func (r *rig) sendRequest(path string, promptTokens int) state.RequestID {
+	return r.sendRequestWithParts(path, promptTokens)
+}
+
+// sendRequestWithParts does the same for a request with shared parts in its prompt.
+func (r *rig) sendRequestWithParts(path string, promptTokens int, parts ...state.PromptPartID) state.RequestID {
 	r.requestCount++
 	id := state.RequestID(fmt.Sprintf("r%d", r.requestCount))
 	r.step(state.RequestArrived{ID: id, Routed: &state.RoutedRequest{
 		HostName: "shop.example", Path: path, HasKey: true, KeyHash: sha256.Sum256([]byte(apiKey)), AttemptID: string(id),
-		Model: modelName, PromptTokens: promptTokens, OutputTokens: 130, Timeout: 8 * time.Second,
+		Model: modelName, PromptTokens: promptTokens, OutputTokens: 130, Timeout: 8 * time.Second, PromptParts: parts,
 	}})
 	return id
 }
--- a/pkg/core/quarantine/ledger_test.go
+++ b/pkg/core/quarantine/ledger_test.go
@@ -53,8 +53,10 @@
 	g.Expect(b.Merge(2*time.Second, clears)).To(gomega.Equal(clears))
 	g.Expect(a.Quarantined()).To(gomega.BeEmpty())
 	g.Expect(b.Quarantined()).To(gomega.BeEmpty())
-	// A late report does not bring it back.
-	b.Merge(2*time.Second, []state.PromptPartCrash{{Part: faulty, Host: "h0", StartID: 1}, {Part: faulty, Host: "h1", StartID: 1}, {Part: faulty, Host: "h2", StartID: 1}})
+	// A late report does not bring it back, and nothing is passed on twice.
+	late := []state.PromptPartCrash{{Part: faulty, Host: "h0", StartID: 1}, {Part: faulty, Host: "h1", StartID: 1}, {Part: faulty, Host: "h2", StartID: 1}}
+	g.Expect(b.Merge(2*time.Second, late)).To(gomega.BeEmpty())
+	g.Expect(b.Merge(2*time.Second, clears)).To(gomega.BeEmpty())
 	g.Expect(b.Quarantined()).To(gomega.BeEmpty())
 }
 
@@ -179,9 +181,15 @@
 	g.Expect(l.Quarantined()).To(gomega.BeEmpty(), "an old crash")
 	l.Crash(20*time.Minute, process(7), parts(faulty))
 	g.Expect(l.Quarantined()).To(gomega.HaveLen(1))
-	l.Start(21*time.Minute, process(9), 20*time.Minute, parts(faulty))
+	l.Tick(31 * time.Minute)
 	g.Expect(l.Quarantined()).To(gomega.BeEmpty())
-	l.Crash(22*time.Minute, process(8), parts(faulty))
+	l.Merge(31*time.Minute, []state.PromptPartCrash{{Part: faulty, Host: "h0", StartID: 1, Cleared: true}})
+	g.Expect(l.Quarantined()).To(gomega.BeEmpty(), "no new crash")
+	l.Crash(31*time.Minute, process(6), parts(faulty))
+	g.Expect(l.Quarantined()).To(gomega.HaveLen(1))
+	l.Start(32*time.Minute, process(9), 32*time.Minute, parts(faulty))
+	g.Expect(l.Quarantined()).To(gomega.BeEmpty())
+	l.Crash(33*time.Minute, process(8), parts(faulty))
 	g.Expect(l.Quarantined()).To(gomega.BeEmpty(), "all evidence was cleared")
 }
 
@@ -209,4 +217,14 @@
 		l.Tick(2 * time.Hour)
 	}
 	g.Expect(l.parts).NotTo(gomega.HaveKey(faulty), "a cleared crash is forgotten")
+	// A part in quarantine is not forgotten for another one.
+	l = NewLedger()
+	for part := range state.PromptPartID(maxParts) {
+		for i := range minCrashes {
+			l.Crash(time.Second, process(i), parts(part))
+		}
+	}
+	g.Expect(l.Crash(2*time.Second, process(0), parts(maxParts))).To(gomega.BeEmpty())
+	g.Expect(l.Quarantined()).To(gomega.HaveLen(maxParts))
+	g.Expect(l.parts).To(gomega.HaveLen(maxParts))
 }
--- a/pkg/core/quarantine/quarantine.go
+++ b/pkg/core/quarantine/quarantine.go
@@ -72,22 +72,17 @@
 	switch {
 	case isStart(ev):
 		s.spread(s.ledger.Start(now, process, req.SentAt, req.PromptParts), "", out)
-	case isCrash(ev) && req.Phase != state.RequestEnded:
+	case ev.LostBeforeFirstEvent() && req.Phase != state.RequestEnded && !req.AnswerStarted:
 		s.spread(s.ledger.Crash(now, process, req.PromptParts), "", out)
 	}
 }
 
 // isStart reports whether an event shows that a target could answer a request. The end
-// of an attempt with events is no second start.
+// of an attempt with events is no second start, and an answer with another status does
+// not show that the prompt was read.
 func isStart(ev state.AttemptEvent) bool {
-	return ev.Stage == state.AttemptFirstByte || ev.Stage == state.AttemptEnded && ev.Failure == state.FailureNone && ev.EventCount == 0
-}
-
-// isCrash reports whether an event is the loss of an answer that had begun and had no
-// event yet. Requests without the beginning of an answer waited at the target when it
-// ended, those with events had begun before.
-func isCrash(ev state.AttemptEvent) bool {
-	return ev.Stage == state.AttemptEnded && ev.Failure == state.FailureConnectionLost && ev.Status == http.StatusOK && ev.EventCount == 0
+	return ev.Stage == state.AttemptFirstByte ||
+		ev.Stage == state.AttemptEnded && ev.Failure == state.FailureNone && ev.Status == http.StatusOK && ev.EventCount == 0
 }
 
 // spread sends evidence to all nodes.
--- a/pkg/core/quarantine/quarantine_test.go
+++ b/pkg/core/quarantine/quarantine_test.go
@@ -166,6 +166,12 @@
 			}
 			f.expectQuarantined(g, true)
 			t.Logf("%d nodes: %d messages for %d crashes and as many clears", count, f.reports, minCrashes)
+			perNode := 1
+			if count > state.MaxFullMeshNodes {
+				// A leaf is linked with two hubs.
+				perNode = 2
+			}
+			g.Expect(f.reports).To(gomega.BeNumerically("<=", 2*minCrashes*perNode*(count-1)), "nothing is sent back or in circles")
 			g.Expect(f.nodes[0].events).To(gomega.ContainElement(event.PromptPartQuarantined))
 			f.attempt(count-1, 10, started, faulty)
 			f.expectQuarantined(g, false)
@@ -174,6 +180,21 @@
 	}
 }
 
+// TestRelayTargets guards against messages that are sent back, in circles or not to all.
+func TestRelayTargets(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := state.NewManagedState()
+	for _, id := range []state.NodeID{"h2", "h3", "l1", "l2"} {
+		m.LinkedPeers[id] = true
+	}
+	g.Expect(m.RelayTargets("h1", "l1")).To(gomega.BeEmpty(), "a full mesh")
+	m.Hubs = map[state.NodeID]bool{"h1": true, "h2": true, "h3": true}
+	g.Expect(m.RelayTargets("h1", "")).To(gomega.Equal([]state.NodeID{"h2", "h3", "l1", "l2"}))
+	g.Expect(m.RelayTargets("h1", "l1")).To(gomega.Equal([]state.NodeID{"h2", "h3", "l2"}))
+	g.Expect(m.RelayTargets("h1", "h2")).To(gomega.Equal([]state.NodeID{"l1", "l2"}))
+	g.Expect(m.RelayTargets("l3", "h1")).To(gomega.BeEmpty(), "a leaf")
+}
+
 // TestLateNodeLearnsOfQuarantine guards against a node that starts or was cut off
 // meanwhile, and lets requests with a part at fault through.
 func TestLateNodeLearnsOfQuarantine(t *testing.T) {
@@ -229,6 +250,8 @@
 	for i := range minCrashes {
 		f.attempt(0, i, crashed, faulty)
 	}
+	f.attempt(0, 9, state.AttemptEvent{Stage: state.AttemptEnded, AnswerBuffered: true, Status: 404}, faulty)
+	f.attempt(0, 9, state.AttemptEvent{Stage: state.AttemptEnded, AnswerBuffered: true, Status: 500, Failure: state.FailureTargetError}, faulty)
 	f.expectQuarantined(g, true)
 	// A complete answer that is not a stream ends it as well.
 	f.attempt(0, 9, state.AttemptEvent{Stage: state.AttemptEnded, AnswerBuffered: true, Status: 200}, faulty)
--- a/pkg/core/state/input.go
+++ b/pkg/core/state/input.go
@@ -240,15 +240,19 @@
 	AnswerBuffered bool
 	// EventCount is the number of stream events that arrived in this attempt.
 	EventCount int
+	// InvalidAnswer is set if the target sent an answer that is not its answer to this
+	// request, so that it has not ended.
+	InvalidAnswer bool
 }
 
 // statusOK is the HTTP status of an answer that has begun.
 const statusOK = 200
 
 // LostBeforeFirstEvent reports whether the attempt ended because its connection was
-// lost after the head of an answer and before the first event.
+// lost after the head of an answer and before the first event. Other requests at a
+// target that ends wait there without a head, or have events and began before.
 func (ev AttemptEvent) LostBeforeFirstEvent() bool {
-	return ev.Stage == AttemptEnded && ev.Failure == FailureConnectionLost && ev.Status == statusOK && ev.EventCount == 0
+	return ev.Stage == AttemptEnded && ev.Failure == FailureConnectionLost && ev.Status == statusOK && ev.EventCount == 0 && !ev.InvalidAnswer
 }
 
 // TargetNotice reports what a target has said of itself in the header of any answer
--- a/pkg/core/state/tables.go
+++ b/pkg/core/state/tables.go
@@ -62,6 +62,8 @@
 	IgnoreChoices bool
 	// IgnoreColdSigns keeps the limit of a target that became cold.
 	IgnoreColdSigns bool
+	// IgnoreQuarantine runs requests with prompt parts in quarantine.
+	IgnoreQuarantine bool
 }
 
 // NewTables returns the tables of a node that has no data yet. The seed determines
--- a/pkg/gateway/routedattempt.go
+++ b/pkg/gateway/routedattempt.go
@@ -157,14 +157,14 @@
 	a.result.Status, a.result.FaultyHost, a.result.Misdirected = res.StatusCode, metadata.FaultyHost, metadata.Misdirected
 	switch {
 	case metadata.Foreign:
-		a.result.Failure = state.FailureConnectionLost
+		a.result.Failure, a.result.InvalidAnswer = state.FailureConnectionLost, true
 	case metadata.NotRun:
 		a.result.Failure, a.result.Outcome = state.FailureTargetRefused, apierror.NotRun
 	case res.StatusCode == http.StatusOK && metadata.Signed && strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream"):
 		a.relayStream(w, res)
 	case a.result.AnswerStarted:
 		// A stream that has started cannot continue with another kind of answer.
-		a.result.Failure = state.FailureConnectionLost
+		a.result.Failure, a.result.InvalidAnswer = state.FailureConnectionLost, true
 	default:
 		a.bufferAnswer(res, metadata)
 	}
@@ -180,7 +180,7 @@
 		return
 	case res.StatusCode < http.StatusMultipleChoices && !metadata.Signed:
 		// A success that no target has signed is not sent to the caller.
-		a.result.Failure = state.FailureConnectionLost
+		a.result.Failure, a.result.InvalidAnswer = state.FailureConnectionLost, true
 		return
 	}
 	a.keepBufferedAnswer(&bufferedAnswer{status: res.StatusCode, header: res.Header, body: body})
--- a/pkg/metric/managed.go
+++ b/pkg/metric/managed.go
@@ -11,10 +11,15 @@
 
 // managedMetrics counts the events of a managed node, whose platform holds the
 // configuration: host orders, host reports, table calls, refusal codes and group
-// changes.
-type managedMetrics struct{ set *metrics.Set }
+// changes. It also holds the number of prompt parts in quarantine.
+type managedMetrics struct {
+	set              *metrics.Set
+	quarantinedParts *metrics.Gauge
+}
 
-func newManagedMetrics(set *metrics.Set) *managedMetrics { return &managedMetrics{set: set} }
+func newManagedMetrics(set *metrics.Set) *managedMetrics {
+	return &managedMetrics{set: set, quarantinedParts: set.NewGauge("apricotgrade_quarantined_prompt_parts", nil)}
+}
 
 func (m *managedMetrics) recordInput(in state.Input) {
 	switch in := in.(type) {
@@ -37,6 +42,12 @@
 		if name, ok := groupChangeLabels[out.Event]; ok {
 			m.increment("apricotgrade_group_changes_total{change=%q}", name)
 		}
+		switch out.Event {
+		case event.PromptPartQuarantined:
+			m.quarantinedParts.Inc()
+		case event.PromptPartReleased:
+			m.quarantinedParts.Dec()
+		}
 	}
 }
 
