Judge the silent attempt of a request like its running one

The quarantine of prompt parts looked only at the running attempt, so that the end of a target at which the silent attempt was still open was no crash, and an event of it no start. The request now names its open attempts, with target, process and time.

Measured: TestEndOfSilentAttemptCounts; without the look at the fallback the request in it is not quarantined.

--- a/pkg/core/dispatch/attempt.go
+++ b/pkg/core/dispatch/attempt.go
@@ -197,7 +197,8 @@
 	out.Log(event.AttemptFailed, slog.String("request", active.req.Arrival.Routed.AttemptID), slog.Int("attempt", active.req.Attempt),
 		slog.String("target", string(active.target.id)), slog.String("group", string(active.target.group)), slog.String("failure", failureNames[state.FailureInactivityTimeout]),
 		slog.Bool("begun", active.firstEventSeen), slog.Duration("age", now-active.req.ArrivedAt), slog.Bool("all_silent", active.target.suspect))
-	active.fallback = &fallbackAttempt{number: active.req.Attempt, target: active.target, begun: active.firstEventSeen}
+	attempt, _ := active.req.OpenAttempt(active.req.Attempt)
+	active.setFallback(&fallbackAttempt{SentAttempt: attempt, target: active.target, begun: active.firstEventSeen})
 	active.req.LastEndedAttempt, active.req.MayHaveRun = active.req.Attempt, true
 	s.releaseTarget(now, active)
 	s.startAttempt(now, active, replacement, out)
@@ -239,12 +240,7 @@
 		s.placeQueued(now, out)
 		return
 	}
-	out.Log(event.AttemptFailed, appendParts([]slog.Attr{
-		slog.String("request", req.Arrival.Routed.AttemptID), slog.Int("attempt", ev.Attempt),
-		slog.String("target", string(t.id)), slog.String("group", string(t.group)), slog.String("failure", failureNames[ev.Failure]),
-		slog.String("outcome", string(ev.Outcome)), slog.Int("status", ev.Status), slog.Int("events", ev.EventCount),
-		slog.Duration("age", now-req.ArrivedAt), slog.String("at_fault", string(ev.FaultyHost)),
-	}, req.Arrival.Routed, ev)...)
+	s.logAttemptFailure(now, req, t, ev, out)
 	if active.fallback != nil {
 		req.TriedTargets = append(req.TriedTargets, req.Target)
 		s.resumeFallback(active)
@@ -264,6 +260,15 @@
 	s.placeQueued(now, out)
 }
 
+func (s *System) logAttemptFailure(now time.Duration, req *state.Request, t *target, ev state.AttemptEvent, out *state.Outbox) {
+	out.Log(event.AttemptFailed, appendParts([]slog.Attr{
+		slog.String("request", req.Arrival.Routed.AttemptID), slog.Int("attempt", ev.Attempt),
+		slog.String("target", string(t.id)), slog.String("group", string(t.group)), slog.String("failure", failureNames[ev.Failure]),
+		slog.String("outcome", string(ev.Outcome)), slog.Int("status", ev.Status), slog.Int("events", ev.EventCount),
+		slog.Duration("age", now-req.ArrivedAt), slog.String("at_fault", string(ev.FaultyHost)),
+	}, req.Arrival.Routed, ev)...)
+}
+
 // isRetryable reports whether the retry class of the route allows another attempt
 // after the given end of an attempt. Any request that has not run may be retried.
 func (s *System) isRetryable(req *state.Request, ev state.AttemptEvent) bool {
--- a/pkg/core/dispatch/fallback.go
+++ b/pkg/core/dispatch/fallback.go
@@ -17,14 +17,22 @@
 // each request whose other attempt is then refused or lost would end without its answer,
 // and a stream that has begun would be cut off.
 type fallbackAttempt struct {
-	number int
+	state.SentAttempt
 	target *target
 	// begun is set if the attempt has delivered events.
 	begun bool
 }
 
 // is reports whether an attempt number is that of the fallback.
-func (f *fallbackAttempt) is(number int) bool { return f != nil && f.number == number }
+func (f *fallbackAttempt) is(number int) bool { return f != nil && f.Number == number }
+
+// setFallback sets the fallback of a request, nil for none.
+func (a *activeRequest) setFallback(fallback *fallbackAttempt) {
+	a.fallback, a.req.Fallback = fallback, nil
+	if fallback != nil {
+		a.req.Fallback = &fallback.SentAttempt
+	}
+}
 
 // handleFallbackEvent handles an event of the fallback. The fallback becomes the running
 // attempt again if it delivers events or completes the answer before the running attempt
@@ -34,7 +42,8 @@
 	case ev.Stage == state.AttemptStalled:
 	case ev.Stage == state.AttemptEnded && ev.Failure != state.FailureNone:
 		s.recordTargetHealth(now, active.fallback.target, ev)
-		active.fallback = nil
+		s.logAttemptFailure(now, active.req, active.fallback.target, ev, out)
+		active.setFallback(nil)
 	default:
 		s.replaceByFallback(now, active, out)
 		s.handleStage(now, active, ev, out)
@@ -44,7 +53,7 @@
 // replaceByFallback cancels the running attempt and resumes the fallback.
 func (s *System) replaceByFallback(now time.Duration, active *activeRequest, out *state.Outbox) {
 	out.Add(state.CancelAttempt{Request: active.req.Arrival.ID, Attempt: active.req.Attempt})
-	out.Log(event.FallbackResumed, slog.String("request", active.req.Arrival.Routed.AttemptID), slog.Int("attempt", active.fallback.number),
+	out.Log(event.FallbackResumed, slog.String("request", active.req.Arrival.Routed.AttemptID), slog.Int("attempt", active.fallback.Number),
 		slog.String("target", string(active.fallback.target.id)), slog.Duration("age", now-active.req.ArrivedAt))
 	s.releaseTarget(now, active)
 	s.resumeFallback(active)
@@ -53,9 +62,10 @@
 // resumeFallback makes the fallback the running attempt, which still counts as stalled.
 func (s *System) resumeFallback(active *activeRequest) {
 	req, fallback, t := active.req, active.fallback, active.fallback.target
-	req.Attempt, req.LastEndedAttempt, req.Phase = fallback.number, fallback.number-1, state.RequestSent
-	req.Target, req.TargetStartID = state.TargetID(t.id), t.startID
-	active.target, active.firstEventSeen, active.stalled, active.fallback = t, fallback.begun, true, nil
+	req.Attempt, req.LastEndedAttempt, req.Phase = fallback.Number, fallback.Number-1, state.RequestSent
+	req.Target, req.TargetStartID, req.SentAt = fallback.Target, fallback.StartID, fallback.SentAt
+	active.target, active.firstEventSeen, active.stalled = t, fallback.begun, true
+	active.setFallback(nil)
 	t.activeRequests[req.Arrival.ID] = active
 	t.stalledCount++
 	if fallback.begun {
@@ -72,6 +82,6 @@
 	if active.fallback == nil {
 		return
 	}
-	out.Add(state.CancelAttempt{Request: active.req.Arrival.ID, Attempt: active.fallback.number})
-	active.fallback = nil
+	out.Add(state.CancelAttempt{Request: active.req.Arrival.ID, Attempt: active.fallback.Number})
+	active.setFallback(nil)
 }
--- a/pkg/core/dispatch/quarantine_test.go
+++ b/pkg/core/dispatch/quarantine_test.go
@@ -193,6 +193,31 @@
 	g.Expect(r.tables.Managed.QuarantinedParts).To(gomega.HaveKey(faultyPart))
 }
 
+// TestEndOfSilentAttemptCounts guards against the end of a target that goes unnoticed, and
+// against a start that does, because another attempt of the request runs meanwhile.
+func TestEndOfSilentAttemptCounts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t, 2)
+	r.reportCrash("x1")
+	r.reportCrash("x2")
+	id := r.sendRequestWithParts("/a/", 10, faultyPart)
+	r.reportStage(id, state.AttemptStalled)
+	g.Expect(r.lastAttempt(id).Attempt).To(gomega.Equal(2))
+	r.step(state.AttemptEvent{
+		Request: id, Attempt: 1, Stage: state.AttemptEnded, Failure: state.FailureConnectionLost, Outcome: apierror.Unknown, Status: 200,
+	})
+	expectQuarantined(g, r.replyTo(id), apierror.Unknown)
+
+	r = newRig(t, 2)
+	id = r.sendRequestWithParts("/a/", 10, faultyPart)
+	r.reportStage(id, state.AttemptStalled)
+	r.reportCrash("x1")
+	r.reportCrash("x2")
+	r.reportAttempt(id, 1, state.AttemptFirstByte)
+	r.reportCrash("x3")
+	g.Expect(r.tables.Managed.QuarantinedParts).To(gomega.BeEmpty())
+}
+
 // TestStartReleasesPart guards against a part that stays refused although an attempt that
 // was cancelled with its quarantine had just started, or a peer saw a start.
 func TestStartReleasesPart(t *testing.T) {
--- a/pkg/core/quarantine/quarantine.go
+++ b/pkg/core/quarantine/quarantine.go
@@ -65,13 +65,17 @@
 // handleAttemptEvent adds what an attempt shows on the parts of its request.
 func (s *System) handleAttemptEvent(now time.Duration, ev state.AttemptEvent, out *state.Outbox) {
 	req := s.tables.Requests.Get(ev.Request)
-	if req == nil || len(req.PromptParts) == 0 || !req.IsCurrent(ev) {
+	if req == nil || len(req.PromptParts) == 0 {
 		return
 	}
-	process := Process{Host: state.HostID(req.Target), StartID: req.TargetStartID}
+	attempt, open := req.OpenAttempt(ev.Attempt)
+	if !open {
+		return
+	}
+	process := Process{Host: state.HostID(attempt.Target), StartID: attempt.StartID}
 	switch {
 	case isStart(ev):
-		s.spread(s.ledger.Start(now, process, req.SentAt, req.PromptParts), "", out)
+		s.spread(s.ledger.Start(now, process, attempt.SentAt, req.PromptParts), "", out)
 	case ev.LostBeforeFirstEvent() && req.Phase != state.RequestEnded && !req.AnswerStarted:
 		s.spread(s.ledger.Crash(now, process, req.PromptParts), "", out)
 	}
--- a/pkg/core/state/request.go
+++ b/pkg/core/state/request.go
@@ -62,6 +62,17 @@
 	return r.HasRunningAttempt() && r.Attempt == ev.Attempt
 }
 
+// OpenAttempt returns the open attempt with a number: the running one or the fallback.
+func (r *Request) OpenAttempt(number int) (attempt SentAttempt, ok bool) {
+	switch {
+	case r.Fallback != nil && r.Fallback.Number == number:
+		return *r.Fallback, true
+	case r.HasRunningAttempt() && r.Attempt == number:
+		return SentAttempt{Number: number, Target: r.Target, StartID: r.TargetStartID, SentAt: r.SentAt}, true
+	}
+	return SentAttempt{}, false
+}
+
 // EndWithRefusal ends a request with a refusal. Only EndWithRefusal and
 // EndWithAnswer write the end fields, so that a request gets exactly one reply. A
 // refusal with outcome "not run" becomes "unknown" if an attempt may have run the
--- a/pkg/core/state/row.go
+++ b/pkg/core/state/row.go
@@ -326,6 +326,14 @@
 	RequestEnded
 )
 
+// SentAttempt is an attempt that was sent to a target.
+type SentAttempt struct {
+	Number  int
+	Target  TargetID
+	StartID int64
+	SentAt  time.Duration
+}
+
 // Request is a request of a caller. Arrival fields never change. Phase, Target and
 // Attempt are written by the admission system through its dispatch, claim fields by
 // the claims system, and the results of attempts by the retry system. The end
@@ -342,6 +350,9 @@
 	// TargetStartID identifies the process of Target to which the last attempt was
 	// sent. Set for routed requests.
 	TargetStartID int64
+	// Fallback is a stalled attempt that is still open beside the last one, or nil.
+	// Written by the dispatch system.
+	Fallback *SentAttempt
 	// TriedTargets lists the targets of failed attempts.
 	TriedTargets []TargetID
 	// AnswerStarted is set once a byte of the answer was sent to the caller.
