Do not take an unframed stream without events for complete

A target that ends between the head of a stream and its first event, and closes the connection, left the caller with an empty success: without length or chunks the end of the connection looked like the end of the answer. Such a stream has failed now and is repeated where the route allows it; it also counts as the end of a target.

--- a/pkg/gateway/routedattempt.go
+++ b/pkg/gateway/routedattempt.go
@@ -243,7 +243,16 @@
 	e.bufferedAnswer = nil
 }
 
-var errPartialEvent = errors.New("the stream ended in the middle of an event")
+var (
+	errPartialEvent = errors.New("the stream ended in the middle of an event")
+	errNoEvent      = errors.New("the connection was closed before the first event")
+)
+
+// isUnframed reports whether an answer has neither a length nor chunks, so that the end
+// of its connection does not show whether it is complete.
+func isUnframed(res *http.Response) bool {
+	return res.ContentLength < 0 && len(res.TransferEncoding) == 0
+}
 
 // relayStream relays complete events as they arrive. It omits the events that the
 // caller already has.
@@ -264,6 +273,9 @@
 			pending = append(pending[:0], rest...)
 		}
 		switch {
+		case errors.Is(err, io.EOF) && a.result.EventCount == 0 && a.lastEventID == "" && isUnframed(res):
+			a.fail(errNoEvent)
+			return
 		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(pending)) == 0:
 			a.completeStream(w, res)
 			return
