--- a/pkg/core/formation/rig_test.go
+++ b/pkg/core/formation/rig_test.go
@@ -46,6 +46,12 @@
 	return state.Membership{}
 }
 
+// waitingReport is a probe that waits for a silent host.
+type waitingReport struct {
+	until time.Duration
+	probe state.FetchHostReport
+}
+
 type lateOrder struct {
 	at    time.Duration
 	order state.HostOrder
@@ -71,6 +77,10 @@
 	listStale bool
 	// reportLag is the age of the state in reports.
 	reportLag time.Duration
+	// reportTimeout is how long a probe waits for a silent host. A host that goes on
+	// before answers it.
+	reportTimeout  time.Duration
+	waitingReports []waitingReport
 	// inventory, if set, receives each input before the formation system, as in a
 	// node.
 	inventory *inventory.System
@@ -154,6 +164,7 @@
 			r.tables.Managed.StoreRecoveredAt = r.now
 		}
 		r.wasOutage = r.outage
+		r.answerWaitingReports()
 		r.inputs = append(r.inputs, state.Tick{})
 		for len(r.inputs) > 0 {
 			in := r.inputs[0]
@@ -207,8 +218,27 @@
 }
 
 func (r *rig) handleReport(in state.FetchHostReport) {
-	h := r.hosts[in.Host]
 	r.reports++
+	if h := r.hosts[in.Host]; h != nil && h.unresponsive && !h.refusing && r.reportTimeout > 0 {
+		r.waitingReports = append(r.waitingReports, waitingReport{r.now + r.reportTimeout, in})
+		return
+	}
+	r.answerReport(in)
+}
+
+// answerWaitingReports answers the probes whose host has gone on or whose time is over.
+func (r *rig) answerWaitingReports() {
+	r.waitingReports = slices.DeleteFunc(r.waitingReports, func(w waitingReport) bool {
+		if r.now < w.until && r.hosts[w.probe.Host].unresponsive {
+			return false
+		}
+		r.answerReport(w.probe)
+		return true
+	})
+}
+
+func (r *rig) answerReport(in state.FetchHostReport) {
+	h := r.hosts[in.Host]
 	out := state.HostReport{Host: in.Host, SentAt: in.SentAt}
 	switch {
 	case h == nil || h.refusing:
