Keep every silent attempt of a request, and count it

With three attempts allowed, a silent replacement took the place of the first fallback, whose events and end were then dropped, so that a begun answer could be aborted. The load of a fallback was not counted at its target, where it holds a slot. And a resumed silent stream counted as running after the stall report on its target had expired, so that a group without a member looked alive.

A request now has a list of fallbacks, which stay in the load of their targets, and a resumed one reports the stall again.

--- a/pkg/core/dispatch/attempt.go
+++ b/pkg/core/dispatch/attempt.go
@@ -33,9 +33,11 @@
 // handleAttemptEvent handles an event of an attempt. It drops events of attempts
 // other than the running one, whose answers are no longer used.
 func (s *System) handleAttemptEvent(now time.Duration, ev state.AttemptEvent, out *state.Outbox) {
-	if active := s.activeRequests[ev.Request]; active != nil && active.fallback.is(ev.Attempt) {
-		s.handleFallbackEvent(now, active, ev, out)
-		return
+	if active := s.activeRequests[ev.Request]; active != nil {
+		if fallback := active.fallback(ev.Attempt); fallback != nil {
+			s.handleFallbackEvent(now, active, fallback, ev, out)
+			return
+		}
 	}
 	req := s.tables.Requests.Get(ev.Request)
 	if req == nil || !req.IsCurrent(ev) {
@@ -60,7 +62,7 @@
 		if active.firstEventAt == 0 {
 			active.firstEventAt = now
 		}
-		s.dropFallback(active, out)
+		s.dropFallbacks(now, active, out)
 		s.handleFirstEvent(active, out)
 	case state.AttemptStalled:
 		s.handleStall(now, active, out)
@@ -78,9 +80,8 @@
 	}
 	s.clearStall(active, out)
 	active.firstEventSeen = true
-	t.load.Waiting--
-	t.load.WaitingTokens -= active.req.Arrival.Routed.PromptTokens
-	t.load.Running++
+	t.removeLoad(active.req, false)
+	t.addLoad(active.req, true)
 }
 
 // handleStall marks an attempt as stalled and schedules its failover. If no other
@@ -180,8 +181,8 @@
 }
 
 // failOver starts another attempt of a request whose attempt has stalled and stays open
-// as the fallback. It does nothing if the request may not be retried. If no other target
-// is eligible, it tries again after targetStallFailoverDelay.
+// as a fallback. It does nothing if the request may not be retried. If no other target is
+// eligible, it tries again after targetStallFailoverDelay.
 func (s *System) failOver(now time.Duration, active *activeRequest, out *state.Outbox) {
 	if active.req.Route.RetryClass == state.NonIdempotent || !s.mayRetry(now, active) {
 		return
@@ -197,10 +198,8 @@
 	out.Log(event.AttemptFailed, slog.String("request", active.req.Arrival.Routed.AttemptID), slog.Int("attempt", active.req.Attempt),
 		slog.String("target", string(active.target.id)), slog.String("group", string(active.target.group)), slog.String("failure", failureNames[state.FailureInactivityTimeout]),
 		slog.Bool("begun", active.firstEventSeen), slog.Duration("age", now-active.req.ArrivedAt), slog.Bool("all_silent", active.target.suspect))
-	attempt, _ := active.req.OpenAttempt(active.req.Attempt)
-	active.setFallback(&fallbackAttempt{SentAttempt: attempt, target: active.target, begun: active.firstEventSeen})
+	s.keepAsFallback(active)
 	active.req.LastEndedAttempt, active.req.MayHaveRun = active.req.Attempt, true
-	s.releaseTarget(now, active)
 	s.startAttempt(now, active, replacement, out)
 }
 
@@ -208,14 +207,20 @@
 // retry budget allow one more attempt. A node that no longer admits requests
 // starts none.
 func (s *System) mayRetry(now time.Duration, active *activeRequest) bool {
-	if active.attempts >= active.req.Route.MaxAttempts || now >= active.req.Deadline || s.tables.Draining && s.admissionClosed(now) || s.isQuarantined(active.req) {
-		return false
-	}
-	if s.retryBudget(active.req.Service).remaining(now, newRetryLimit(&s.tables.Self, active.req.Service, s.managed.Nodes.Len(), now)) <= 0 {
-		s.tables.Counters.BudgetRefusals++
-		return false
+	return s.hasAttemptsLeft(now, active) && s.hasRetryBudget(now, active)
+}
+
+func (s *System) hasAttemptsLeft(now time.Duration, active *activeRequest) bool {
+	return active.attempts < active.req.Route.MaxAttempts && now < active.req.Deadline &&
+		!(s.tables.Draining && s.admissionClosed(now)) && !s.isQuarantined(active.req)
+}
+
+func (s *System) hasRetryBudget(now time.Duration, active *activeRequest) bool {
+	if s.retryBudget(active.req.Service).remaining(now, newRetryLimit(&s.tables.Self, active.req.Service, s.managed.Nodes.Len(), now)) > 0 {
+		return true
 	}
-	return true
+	s.tables.Counters.BudgetRefusals++
+	return false
 }
 
 // retry starts the next attempt of a request, or queues the request if no target
@@ -235,15 +240,15 @@
 	s.recordTargetHealth(now, t, ev)
 	s.releaseTarget(now, active)
 	if ev.Failure == state.FailureNone {
-		s.dropFallback(active, out)
+		s.dropFallbacks(now, active, out)
 		s.answer(now, req, ev.AnswerBuffered, out)
 		s.placeQueued(now, out)
 		return
 	}
 	s.logAttemptFailure(now, req, t, ev, out)
-	if active.fallback != nil {
+	if n := len(active.fallbacks); n > 0 {
 		req.TriedTargets = append(req.TriedTargets, req.Target)
-		s.resumeFallback(active)
+		s.resume(now, active, active.fallbacks[n-1], out)
 		s.placeQueued(now, out)
 		return
 	}
--- a/pkg/core/dispatch/dispatch.go
+++ b/pkg/core/dispatch/dispatch.go
@@ -22,9 +22,8 @@
 	attempts int
 	// target is that of the running attempt, nil while none runs.
 	target *target
-	// fallback is the previous attempt while it stays open beside the running one, or
-	// nil.
-	fallback *fallbackAttempt
+	// fallbacks are earlier attempts that stay open beside the running one.
+	fallbacks []*fallbackAttempt
 	// firstEventSeen is set once an event of the running attempt has arrived.
 	firstEventSeen bool
 	// stalled is set while the running attempt receives no events.
@@ -281,7 +280,7 @@
 	// EndWithRefusal cancels the running attempt, so finish releases the target
 	// only afterwards.
 	if active := s.activeRequests[req.Arrival.ID]; active != nil {
-		s.dropFallback(active, out)
+		s.dropFallbacks(now, active, out)
 	}
 	s.tables.EndWithRefusal(now, req, refusal, out)
 	attrs := []slog.Attr{
--- a/pkg/core/dispatch/place.go
+++ b/pkg/core/dispatch/place.go
@@ -171,8 +171,7 @@
 	req.Attempt = active.attempts
 	active.target, active.firstEventSeen, active.stalled = t, false, false
 	t.activeRequests[req.Arrival.ID] = active
-	t.load.Waiting++
-	t.load.WaitingTokens += routed.PromptTokens
+	t.addLoad(req, false)
 	if req.Attempt > 1 {
 		s.retryBudget(req.Service).countRetry(now)
 		s.tables.Counters.Retries++
@@ -180,7 +179,7 @@
 	attempt := state.StartAttempt{
 		Request: req.Arrival.ID, Attempt: req.Attempt, Target: req.Target, Address: t.address, NewConnection: true,
 		Timeout: req.Deadline - now, DecidedAt: now, ExpectedInstance: t.id, StartID: t.startID, Account: req.Account,
-		KeepPrevious: active.fallback != nil,
+		KeepPrevious: len(active.fallbacks) > 0,
 	}
 	if req.Route.Stream {
 		attempt.StallAfter, attempt.FirstEventStallAfter = stallTimeout, 2*predicted+firstEventSlack
@@ -200,12 +199,7 @@
 	if t == nil {
 		return
 	}
-	if active.firstEventSeen {
-		t.load.Running--
-	} else {
-		t.load.Waiting--
-		t.load.WaitingTokens -= active.req.Arrival.Routed.PromptTokens
-	}
+	t.removeLoad(active.req, active.firstEventSeen)
 	if active.stalled {
 		t.stalledCount--
 	}
--- a/pkg/core/dispatch/target.go
+++ b/pkg/core/dispatch/target.go
@@ -200,6 +200,21 @@
 	}
 }
 
+// addLoad counts an attempt at the target. begun states whether it has delivered events.
+func (t *target) addLoad(req *state.Request, begun bool) { t.changeLoad(req, begun, 1) }
+
+// removeLoad takes an attempt out of the load of the target.
+func (t *target) removeLoad(req *state.Request, begun bool) { t.changeLoad(req, begun, -1) }
+
+func (t *target) changeLoad(req *state.Request, begun bool, n int) {
+	if begun {
+		t.load.Running += n
+		return
+	}
+	t.load.Waiting += n
+	t.load.WaitingTokens += n * req.Arrival.Routed.PromptTokens
+}
+
 // countEnd adds the end of an attempt to the failure rate.
 func (t *target) countEnd(now time.Duration, failed bool) {
 	t.decay(now)
--- a/pkg/core/state/request.go
+++ b/pkg/core/state/request.go
@@ -62,14 +62,16 @@
 	return r.HasRunningAttempt() && r.Attempt == ev.Attempt
 }
 
-// OpenAttempt returns the open attempt with a number: the running one or the fallback.
+// OpenAttempt returns the open attempt with a number: the running one or a fallback.
 func (r *Request) OpenAttempt(number int) (attempt SentAttempt, ok bool) {
-	switch {
-	case r.Fallback != nil && r.Fallback.Number == number:
-		return *r.Fallback, true
-	case r.HasRunningAttempt() && r.Attempt == number:
+	if r.HasRunningAttempt() && r.Attempt == number {
 		return SentAttempt{Number: number, Target: r.Target, StartID: r.TargetStartID, SentAt: r.SentAt}, true
 	}
+	for _, fallback := range r.Fallbacks {
+		if fallback.Number == number {
+			return fallback, true
+		}
+	}
 	return SentAttempt{}, false
 }
 
--- a/pkg/core/state/row.go
+++ b/pkg/core/state/row.go
@@ -350,9 +350,9 @@
 	// TargetStartID identifies the process of Target to which the last attempt was
 	// sent. Set for routed requests.
 	TargetStartID int64
-	// Fallback is a stalled attempt that is still open beside the last one, or nil.
-	// Written by the dispatch system.
-	Fallback *SentAttempt
+	// Fallbacks are stalled attempts that are still open beside the last one. Written by
+	// the dispatch system.
+	Fallbacks []SentAttempt
 	// TriedTargets lists the targets of failed attempts.
 	TriedTargets []TargetID
 	// AnswerStarted is set once a byte of the answer was sent to the caller.
