Try a failover again after the retry budget was used up

A silent stream whose failover was due while the retry budget was used up was never moved, and its caller waited until the target broke off. The failover is scheduled again, as where no target is eligible. TestSilentStreamMovesOnceBudgetAllows failed before.

--- a/pkg/core/dispatch/attempt.go
+++ b/pkg/core/dispatch/attempt.go
@@ -182,9 +182,13 @@
 
 // failOver starts another attempt of a request whose attempt has stalled and stays open
 // as a fallback. It does nothing if the request may not be retried. If no other target is
-// eligible, it tries again after targetStallFailoverDelay.
+// eligible, or the retry budget is used up, it tries again after targetStallFailoverDelay.
 func (s *System) failOver(now time.Duration, active *activeRequest, out *state.Outbox) {
-	if active.req.Route.RetryClass == state.NonIdempotent || !s.mayRetry(now, active) {
+	if active.req.Route.RetryClass == state.NonIdempotent || !s.hasAttemptsLeft(now, active) {
+		return
+	}
+	if !s.hasRetryBudget(now, active) {
+		s.failovers.Schedule(active.req.Arrival.ID, now+targetStallFailoverDelay)
 		return
 	}
 	triedBefore := slices.Clone(active.req.TriedTargets)
