Do not count attempts that were never sent

An attempt whose decision had expired in a paused process reached no target, yet it used up one of the attempts that the route allows, and a begun stream was aborted after it. TestExpiredDecisionUsesNoAttempt failed before.

--- a/pkg/core/dispatch/attempt.go
+++ b/pkg/core/dispatch/attempt.go
@@ -215,7 +215,7 @@
 }
 
 func (s *System) hasAttemptsLeft(now time.Duration, active *activeRequest) bool {
-	return active.attempts < active.req.Route.MaxAttempts && now < active.req.Deadline &&
+	return active.attempts-active.unsent < active.req.Route.MaxAttempts && now < active.req.Deadline &&
 		!(s.tables.Draining && s.admissionClosed(now)) && !s.isQuarantined(active.req)
 }
 
@@ -250,6 +250,9 @@
 		return
 	}
 	s.logAttemptFailure(now, req, t, ev, out)
+	if ev.Failure == state.FailureDecisionExpired {
+		active.unsent++
+	}
 	if n := len(active.fallbacks); n > 0 {
 		req.TriedTargets = append(req.TriedTargets, req.Target)
 		s.resume(now, active, active.fallbacks[n-1], out)
--- a/pkg/core/dispatch/dispatch.go
+++ b/pkg/core/dispatch/dispatch.go
@@ -18,8 +18,9 @@
 type activeRequest struct {
 	req  *state.Request
 	pool *targetPool
-	// attempts is the number of attempts that were started.
-	attempts int
+	// attempts is the number of attempts that were started, and unsent how many of them
+	// reached no target because the decision had expired.
+	attempts, unsent int
 	// target is that of the running attempt, nil while none runs.
 	target *target
 	// fallbacks are earlier attempts that stay open beside the running one.
