Give one attempt alone the right to continue an answer

Found by the review of the fallback. A silent attempt could deliver after the core had decided on its replacement and before that one began: the replacement could then continue the answer, the core cancelled it, and the silent attempt was superseded, so that the answer was aborted. An attempt that completed its stream without a further event left the other one the right to write behind it. And a write blocked by a slow caller was reported as a silent target.

A replacement may deliver only if no event was delivered since the stall for which it was started, completion claims the answer, and a stall is decided under the lock that is held during a write, so that the core learns of stalls and their ends in their order. The model of the gateway in the random schedules has the same rules.

--- a/pkg/core/dispatch/twoattempts_test.go
+++ b/pkg/core/dispatch/twoattempts_test.go
@@ -41,9 +41,11 @@
 	cancelled             []int
 	started               int
 	delivering, delivered int
-	answerStarted         bool
-	callerGone            bool
-	reply                 *state.Reply
+	// deliveredAtStall is delivered at the last stall of an attempt.
+	deliveredAtStall int
+	answerStarted    bool
+	callerGone       bool
+	reply            *state.Reply
 }
 
 func (e *modelExchange) mayDeliver(a *modelAttempt) bool {
@@ -64,10 +66,15 @@
 		}
 	}
 	e.waiting = e.waiting[1:]
-	e.attempts[start.Attempt] = &modelAttempt{
-		number: start.Attempt, eventsBefore: e.delivered, cancelled: slices.Contains(e.cancelled, start.Attempt),
+	a := &modelAttempt{number: start.Attempt, eventsBefore: e.delivered, cancelled: slices.Contains(e.cancelled, start.Attempt)}
+	if start.KeepPrevious {
+		a.eventsBefore = e.deliveredAtStall
+	}
+	a.replaced = a.cancelled && e.delivering != 0
+	e.attempts[start.Attempt] = a
+	if !e.mayDeliver(a) {
+		e.end(a, state.FailureCancelled, apierror.NotRun)
 	}
-	e.attempts[start.Attempt].replaced = e.attempts[start.Attempt].cancelled && e.delivering != 0
 }
 
 func (e *modelExchange) event(a *modelAttempt, stage state.AttemptStage) state.AttemptEvent {
@@ -92,6 +99,9 @@
 	case action == "stall":
 		if !a.stalled {
 			a.stalled = true
+			if e.mayDeliver(a) {
+				e.deliveredAtStall = e.delivered
+			}
 			a.unsent = append(a.unsent, e.event(a, state.AttemptStalled))
 		}
 	case action == "lost":
@@ -106,6 +116,8 @@
 		e.end(a, state.FailureCancelled, apierror.Unknown)
 	case action == "complete":
 		a.completedItself = true
+		e.delivering = a.number
+		e.delivered++
 		e.end(a, state.FailureNone, apierror.Done)
 	default:
 		e.deliver(a)
--- a/pkg/gateway/routedattempt.go
+++ b/pkg/gateway/routedattempt.go
@@ -40,8 +40,9 @@
 	start    state.StartAttempt
 	ctx      context.Context
 	result   state.AttemptEvent
-	// lastEventID is the id of the last event that the caller had when the attempt began,
-	// and eventsBefore the number of events delivered until then.
+	// lastEventID is the id of the last event that the caller had when the attempt began.
+	// eventsBefore is the number of events delivered until then or, if earlier attempts
+	// stay open, until the stall for which the core has decided on this one.
 	lastEventID  string
 	eventsBefore int
 
@@ -57,11 +58,13 @@
 func newRoutedAttempt(ctx context.Context, g *RoutedGateway, e *routedExchange, start state.StartAttempt) *routedAttempt {
 	e.answerMu.Lock()
 	defer e.answerMu.Unlock()
+	eventsBefore := e.eventsAtStall
 	if !start.KeepPrevious {
+		eventsBefore = e.deliveredEvents
 		g.releaseBuffer(e)
 	}
 	return &routedAttempt{
-		gateway: g, exchange: e, start: start, ctx: ctx, lastEventID: e.lastEventID, eventsBefore: e.deliveredEvents,
+		gateway: g, exchange: e, start: start, ctx: ctx, lastEventID: e.lastEventID, eventsBefore: eventsBefore,
 		result: state.AttemptEvent{
 			Request: start.Request, Attempt: start.Attempt, Stage: state.AttemptEnded, Outcome: apierror.Unknown, AnswerStarted: e.answerStarted,
 		},
@@ -74,6 +77,13 @@
 	return a.exchange.deliveringAttempt == a.start.Attempt || a.exchange.deliveredEvents == a.eventsBefore
 }
 
+// isSuperseded reports whether a silent attempt has delivered again before this one began.
+func (a *routedAttempt) isSuperseded() bool {
+	a.exchange.answerMu.Lock()
+	defer a.exchange.answerMu.Unlock()
+	return !a.continuesAnswer()
+}
+
 // supersede ends an attempt after another one has continued the answer.
 func (a *routedAttempt) supersede() { a.result.Failure = state.FailureCancelled }
 
@@ -97,27 +107,46 @@
 	}
 }
 
-// stallTimerFired reports a stall unless the timer has fired late.
+// stallTimerFired reports a stall unless the timer has fired late. It waits for a write to
+// the caller, so that a caller that reads slowly does not make its target count as silent.
 func (a *routedAttempt) stallTimerFired() {
+	a.exchange.answerMu.Lock()
+	defer a.exchange.answerMu.Unlock()
+	if !a.beginStall() {
+		return
+	}
+	if a.continuesAnswer() {
+		a.exchange.eventsAtStall = a.exchange.deliveredEvents
+	}
+	a.reportStage(state.AttemptStalled)
+}
+
+// beginStall marks the attempt as stalled, or starts the timer again if events have
+// arrived meanwhile, or may have. It returns false if there is no new stall.
+func (a *routedAttempt) beginStall() bool {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	if a.done || a.stalled {
-		a.mu.Unlock()
-		return
+		return false
 	}
-	if now := time.Now(); now.Sub(a.stallDue) > maxTimerDelay {
+	now := time.Now()
+	switch {
+	case now.Before(a.stallDue):
+		a.stallTimer.Reset(a.stallDue.Sub(now))
+		return false
+	case now.Sub(a.stallDue) > maxTimerDelay:
 		// This process was paused, so events may have arrived that it has not read.
 		a.stallDue = now.Add(maxTimerDelay)
 		a.stallTimer.Reset(maxTimerDelay)
-		a.mu.Unlock()
-		return
+		return false
 	}
 	a.stalled = true
-	a.mu.Unlock()
-	a.reportStage(state.AttemptStalled)
+	return true
 }
 
 // eventsArrived restarts the stall timer and reports the end of a stall. It is called
-// whenever events have arrived.
+// whenever events have arrived, with answerMu held, so that the core learns of stalls and
+// their ends in their order.
 func (a *routedAttempt) eventsArrived() {
 	a.mu.Lock()
 	wasStalled := a.stalled
@@ -202,8 +231,7 @@
 		a.result.Failure = state.FailureTargetError
 		return
 	}
-	e.deliveringAttempt = a.start.Attempt
-	e.deliveredEvents++
+	a.claimAnswer()
 }
 
 var (
@@ -312,9 +340,16 @@
 	}
 	a.result.Outcome = apierror.Done
 	a.startAnswer(w, res)
+	a.claimAnswer()
 	a.eventsArrived()
 }
 
+// claimAnswer supersedes all other attempts. The caller holds answerMu.
+func (a *routedAttempt) claimAnswer() {
+	a.exchange.deliveringAttempt = a.start.Attempt
+	a.exchange.deliveredEvents++
+}
+
 // startAnswer writes the header of the answer unless it was already written. The caller
 // holds answerMu.
 func (a *routedAttempt) startAnswer(w http.ResponseWriter, res *http.Response) {
@@ -329,18 +364,6 @@
 // relayEvents writes complete events to the caller. It returns false, and writes nothing,
 // if another attempt has continued the answer.
 func (a *routedAttempt) relayEvents(w http.ResponseWriter, writer *eventWriter, res *http.Response, events []byte) bool {
-	first := a.result.EventCount == 0
-	if !a.deliver(w, writer, res, events) {
-		return false
-	}
-	a.eventsArrived()
-	if first {
-		a.reportStage(state.AttemptFirstByte)
-	}
-	return true
-}
-
-func (a *routedAttempt) deliver(w http.ResponseWriter, writer *eventWriter, res *http.Response, events []byte) bool {
 	e := a.exchange
 	e.answerMu.Lock()
 	defer e.answerMu.Unlock()
@@ -356,6 +379,10 @@
 		writer.write(undelivered)
 		writer.flush()
 	}
+	a.eventsArrived()
+	if before == 0 {
+		a.reportStage(state.AttemptFirstByte)
+	}
 	return true
 }
 
--- a/pkg/gateway/routedgateway.go
+++ b/pkg/gateway/routedgateway.go
@@ -94,6 +94,8 @@
 	// as one.
 	deliveringAttempt int
 	deliveredEvents   int
+	// eventsAtStall is deliveredEvents at the last stall of an attempt.
+	eventsAtStall int
 	// bufferedAnswer is the complete answer of the last attempt. The caller receives it
 	// if the core's reply has UseBufferedAnswer.
 	bufferedAnswer *bufferedAnswer
@@ -243,6 +245,10 @@
 	defer e.endAttempt(start.Attempt)
 	defer cancel(nil)
 	a := newRoutedAttempt(ctx, g, e, start)
+	if a.isSuperseded() {
+		a.result.Failure, a.result.Outcome = state.FailureCancelled, apierror.NotRun
+		return a.result
+	}
 	if start.DecidedAt > 0 && g.daemon.Now()-start.DecidedAt > maxSendDelay {
 		a.result.Failure, a.result.Outcome = state.FailureDecisionExpired, apierror.NotRun
 		return a.result
