Keep the write deadline of the attempt that delivers

The end of a superseded attempt removed the deadline with which the other one writes to the caller, so that a caller that reads nothing could hold the attempt for ever. TestEndOfOtherAttemptKeepsWriteDeadline failed before.

--- a/pkg/gateway/routedattempt.go
+++ b/pkg/gateway/routedattempt.go
@@ -286,7 +286,7 @@
 // caller already has.
 func (a *routedAttempt) relayStream(w http.ResponseWriter, res *http.Response) {
 	writer := newEventWriter(w)
-	defer writer.clearDeadline()
+	defer a.clearDeadline(writer)
 	pending := make([]byte, 0, relayBufferBytes)
 	buffer := make([]byte, relayBufferBytes)
 	for {
@@ -320,6 +320,15 @@
 	}
 }
 
+// clearDeadline removes the write deadline unless another attempt has set it.
+func (a *routedAttempt) clearDeadline(writer *eventWriter) {
+	a.exchange.answerMu.Lock()
+	defer a.exchange.answerMu.Unlock()
+	if a.exchange.deliveringAttempt == a.start.Attempt {
+		writer.clearDeadline()
+	}
+}
+
 // splitEvents splits a buffer into the complete events at its start and the rest.
 func splitEvents(b []byte) (complete, rest []byte) {
 	end := bytes.LastIndex(b, []byte("\n\n"))
