Do not end a sound group because it is silent for a second

Callers lost all streams of a group at once: the holder of the formation lease ended a group whose streams had been stalled for 0.9 s, or of which one host had not answered a probe for 0.3 s, with an order to the leader to abort its streams. A sound host may be silent for a second and go on. The order cannot be undone.

A host that accepts the connection of a probe and does not answer may be sound; it counts as lost after 2 s. One without power or behind a partition accepts no connection, and counts as lost as soon as before. A group that is stalled while all its hosts answer probes is ended after 2 s without events.

Measured: TestSilentGroupIsNotClosed, TestSilentLeaderDoesNotEndGroup, TestSilentMember- DoesNotEndGroup and TestLeaderSilentToOneNodeDoesNotEndGroup failed before and pass.

--- a/pkg/core/formation/group.go
+++ b/pkg/core/formation/group.go
@@ -15,8 +15,10 @@
 	// reaches may still be stalled. The platform specifies 5 s.
 	leaderBreakTime = 5500 * time.Millisecond
 	// stuckTimeout is how long a group may be stalled while all its members answer
-	// probes. It is then formed again, because its leader does not reach a member.
-	stuckTimeout = 900 * time.Millisecond
+	// probes. It is then formed again, because its leader does not reach a member. Streams
+	// count as stalled stallDetectionTime after their last event.
+	stuckTimeout       = maxSoundSilence - stallDetectionTime
+	stallDetectionTime = 450 * time.Millisecond
 	// unknownMemberTimeout is how long a member of an open group that this node
 	// has never seen may be missing from the list of instances.
 	unknownMemberTimeout = time.Second
--- a/pkg/core/formation/host.go
+++ b/pkg/core/formation/host.go
@@ -18,6 +18,9 @@
 	// conflictBackoff is how long a host receives no order after it refused one
 	// that did not fit its state, such as a join while its last group is closing.
 	conflictBackoff = 40 * time.Millisecond
+	// maxSoundSilence is how long a sound host may be silent, on its streams and to
+	// probes, before it goes on.
+	maxSoundSilence = 2 * time.Second
 	// deadProbePeriod is the interval between probes of a host that does not
 	// answer.
 	deadProbePeriod = time.Second
@@ -70,7 +73,10 @@
 	failures int
 	dead     bool
 	deadAt   time.Duration
-	plan     *plan
+	// silentSince is when the first probe was sent that the host accepted and did not
+	// answer; 0 if it answered the last one.
+	silentSince time.Duration
+	plan        *plan
 	// lastGroup is the group that the host was last seen in.
 	lastGroup *group
 	// stagingModel is the model that the host was last ordered to stage, empty
@@ -194,10 +200,14 @@
 		if in.AddressReused {
 			s.endLedGroups(h)
 		}
+		if in.Silent && s.mayBeSound(now, h, in.SentAt) {
+			s.probe(now, h, out)
+			return
+		}
 		s.recordFailure(now, h, in.ConnectionRefused, out)
 		return
 	}
-	h.failures = 0
+	h.failures, h.silentSince = 0, 0
 	if h.dead {
 		h.dead = false
 		out.Log(event.HostResponsive, slog.String("host", string(h.id)))
@@ -256,6 +266,17 @@
 	}
 }
 
+// mayBeSound reports whether a host that has accepted a probe and not answered it may still
+// be sound. A host without power, or behind a partition, accepts no connection. The end of a
+// group cannot be undone, and would cut off its streams.
+func (s *System) mayBeSound(now time.Duration, h *host, probedAt time.Duration) bool {
+	h.sequenceKnown = false
+	if h.silentSince == 0 {
+		h.silentSince = probedAt
+	}
+	return now-h.silentSince < maxSoundSilence
+}
+
 // failureThreshold returns the number of consecutive unanswered probes after
 // which a host counts as dead. It is 1 if all nodes find the group of the host
 // stalled, otherwise 2.
--- a/pkg/core/formation/silence_test.go
+++ b/pkg/core/formation/silence_test.go
@@ -86,3 +86,20 @@
 func TestLeaderSilentToOneNodeDoesNotEndGroup(t *testing.T) {
 	runSilence(t, silentPart{reports: true})
 }
+
+// TestHostThatStaysSilentEndsGroup guards against a group that is kept for ever because one of
+// its hosts accepts connections and never answers.
+func TestHostThatStaysSilentEndsGroup(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t)
+	r.startTraffic()
+	r.reportTimeout = probeTimeout
+	host := r.memberOf(large, 1)
+	group := r.system.hosts[host].lastGroup
+	r.hosts[host].unresponsive = true
+	r.run(stallSeenAfter + stallSpreadTime)
+	r.tables.Managed.StalledTargets[group.leader()] = r.now
+	r.tables.Managed.GloballyStalledTargets[group.leader()] = r.now
+	r.run(maxSoundSilence + 2*probeTimeout)
+	g.Expect(group.retiring).To(gomega.BeTrue())
+}
--- a/pkg/core/state/hostorder.go
+++ b/pkg/core/state/hostorder.go
@@ -87,10 +87,12 @@
 	SentAt time.Duration
 	// OK is false when the host did not answer. ConnectionRefused is then set when
 	// the connection was refused, as by a host without a listener, and AddressReused
-	// when another process answers at its address.
+	// when another process answers at its address. Silent is set when the host accepted
+	// the connection and did not answer in time.
 	OK                bool
 	ConnectionRefused bool
 	AddressReused     bool
+	Silent            bool
 	// Sequence is the number of orders that the host process has accepted since its
 	// start.
 	Sequence uint64
