--- a/pkg/core/dispatch/attempt.go
+++ b/pkg/core/dispatch/attempt.go
@@ -216,7 +216,7 @@
 
 func (s *System) hasAttemptsLeft(now time.Duration, active *activeRequest) bool {
 	return active.attempts-active.unsent < active.req.Route.MaxAttempts && now < active.req.Deadline &&
-		!(s.tables.Draining && s.admissionClosed(now)) && !s.isQuarantined(active.req)
+		(!s.tables.Draining || !s.admissionClosed(now)) && !s.isQuarantined(active.req)
 }
 
 func (s *System) hasRetryBudget(now time.Duration, active *activeRequest) bool {
