Log and count the limits that targets name

No decision uses the limits yet.

Each answer is fed to the core as a notice, since its lack of a limit ends one. An answer to a request that was sent before the limit was last named ends nothing.

--- a/pkg/core/inventory/departure.go
+++ b/pkg/core/inventory/departure.go
@@ -23,6 +23,7 @@
 		s.managed.PausedTargets[in.Host] = state.TargetPause{StartID: in.StartID, Until: now + in.Pause}
 		out.Log(event.TargetPaused, slog.String("target", string(in.Host)), slog.Duration("pause", in.Pause))
 	}
+	s.handleLimitStatement(now, in, out)
 	if in.Leaving {
 		s.recordLeaving(now, state.Departure{Host: in.Host, StartID: in.StartID}, "", out)
 	}
@@ -96,9 +97,9 @@
 	s.managed.TargetInputsVersion++
 }
 
-// purgeDepartures forgets old departures of instances without a row, and pauses that
-// have ended.
-func (s *System) purgeDepartures(now time.Duration) {
+// purgeDepartures forgets old departures of instances without a row, and pauses and
+// limits that have ended.
+func (s *System) purgeDepartures(now time.Duration, out *state.Outbox) {
 	if now < s.nextPurgeAt {
 		return
 	}
@@ -113,4 +114,5 @@
 			delete(s.managed.PausedTargets, id)
 		}
 	}
+	s.purgeLimits(now, out)
 }
--- a/pkg/core/inventory/inventory.go
+++ b/pkg/core/inventory/inventory.go
@@ -317,7 +317,7 @@
 		s.deleteInstance(now, id)
 	}
 	s.releaseHeld(now, out)
-	s.purgeDepartures(now)
+	s.purgeDepartures(now, out)
 	s.register(now, out)
 	s.updateOutage(now, out)
 	s.managed.ShouldReleaseLease = s.shouldReleaseLease(now)
--- a/pkg/core/state/input.go
+++ b/pkg/core/state/input.go
@@ -265,6 +265,21 @@
 	Leaving bool
 	// Pause is how long the target wants no request from this node; 0 for no pause.
 	Pause time.Duration
+	// Limit is what the answer says about a limit of requests.
+	Limit LimitStatement
+	// SentAt is when the request was sent; 0 if unknown.
+	SentAt time.Duration
+}
+
+// LimitStatement is what an answer of a target says about the requests that it takes.
+type LimitStatement struct {
+	// Named is set if the answer names a limit. Rate is then the number of requests per
+	// second that the target takes from all nodes together.
+	Named bool
+	Rate  float64
+	// None is set if the answer shows that the target names no limit. An answer that
+	// shows neither leaves open whether there is one.
+	None bool
 }
 
 // CallerDisconnected reports that a caller closed its connection.
--- a/pkg/core/state/managedstate.go
+++ b/pkg/core/state/managedstate.go
@@ -21,6 +21,9 @@
 	// PausedTargets holds the targets that have asked this node for a pause. Written by
 	// the inventory system.
 	PausedTargets map[HostID]TargetPause
+	// TargetLimits holds the limits that targets name, by ID. Written by the inventory
+	// system.
+	TargetLimits map[HostID]TargetLimit
 	// StoreEra is the highest era of the store that this node or a peer has seen. It
 	// grows when the store comes back from a copy. Written by the inventory system.
 	StoreEra uint64
@@ -95,7 +98,7 @@
 func NewManagedState() *ManagedState {
 	m := &ManagedState{
 		Evacuated: map[DataCentre]bool{}, Instances: NewTable[HostID, Instance](), Departures: map[HostID]Departure{},
-		PausedTargets: map[HostID]TargetPause{}, LinkedPeers: map[NodeID]bool{}, QuarantinedParts: map[PromptPartID]time.Duration{},
+		PausedTargets: map[HostID]TargetPause{}, TargetLimits: map[HostID]TargetLimit{}, LinkedPeers: map[NodeID]bool{}, QuarantinedParts: map[PromptPartID]time.Duration{},
 		Nodes: NewTable[NodeID, RegisteredNode](), StalledTargets: map[HostID]time.Duration{},
 		PeerStalledTargets: map[HostID]time.Duration{}, GloballyStalledTargets: map[HostID]time.Duration{}, Loads: map[HostID]*TargetLoad{},
 		PeerLoads: map[NodeID][]TargetLoad{}, PeerStatusAt: map[NodeID]time.Duration{},
@@ -141,6 +144,16 @@
 	Until   time.Duration
 }
 
+// TargetLimit is the number of requests per second that a process of a target takes from
+// all nodes together.
+type TargetLimit struct {
+	Host    HostID
+	StartID int64
+	Rate    float64
+	// ConfirmedAt is when the target was last known to name the limit.
+	ConfirmedAt time.Duration
+}
+
 // TableKind identifies a table of the platform's store.
 type TableKind uint8
 
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -38,6 +38,9 @@
 	HistoryReceived         ID = 1022
 	HeldRowApplied          ID = 1023
 	TargetPaused            ID = 1024
+	TargetLimitNamed        ID = 1025
+	TargetLimitChanged      ID = 1026
+	TargetLimitEnded        ID = 1027
 )
 
 // Events of peers: 1100 to 1199.
@@ -158,6 +161,9 @@
 	{HistoryReceived, Info, "history received from a peer"},
 	{HeldRowApplied, Info, "row of a restored store applied after nothing contradicted it"},
 	{TargetPaused, Info, "target asked for a pause"},
+	{TargetLimitNamed, Info, "target named a limit of requests"},
+	{TargetLimitChanged, Info, "target changed its limit of requests"},
+	{TargetLimitEnded, Info, "limit of requests of a target ended"},
 	{PeerUp, Info, "link to peer up"},
 	{PeerDown, Warn, "link to peer down"},
 	{PeerFrameMalformed, Warn, "malformed frame from peer, link closed"},
--- a/pkg/gateway/routedgateway.go
+++ b/pkg/gateway/routedgateway.go
@@ -34,7 +34,7 @@
 	ReadAnswer(res *http.Response, attemptID string) AnswerMetadata
 	// ReadNotice returns what the target of an attempt says of itself in the header of
 	// its answer.
-	ReadNotice(res *http.Response, start state.StartAttempt) state.TargetNotice
+	ReadNotice(res *http.Response, start state.StartAttempt, attemptID string) state.TargetNotice
 	// PrepareRefusal sets the header of a refusal. A retryAfter of 0 sets no Retry-After.
 	PrepareRefusal(h http.Header, attemptID string, retryAfter time.Duration)
 }
@@ -267,9 +267,7 @@
 		return a.result
 	}
 	defer func() { _ = res.Body.Close() }()
-	if notice := g.headers.ReadNotice(res, start); notice.Leaving || notice.Pause > 0 {
-		g.daemon.Feed(notice)
-	}
+	g.daemon.Feed(g.headers.ReadNotice(res, start, e.routedRequest.AttemptID))
 	a.receive(w, res)
 	return a.result
 }
--- a/pkg/metric/managed.go
+++ b/pkg/metric/managed.go
@@ -11,14 +11,19 @@
 
 // managedMetrics counts the events of a managed node, whose platform holds the
 // configuration: host orders, host reports, table calls, refusal codes and group
-// changes. It also holds the number of prompt parts in quarantine.
+// changes. It also holds the numbers of prompt parts in quarantine and of targets that
+// name a limit.
 type managedMetrics struct {
 	set              *metrics.Set
 	quarantinedParts *metrics.Gauge
+	limitedTargets   *metrics.Gauge
 }
 
 func newManagedMetrics(set *metrics.Set) *managedMetrics {
-	return &managedMetrics{set: set, quarantinedParts: set.NewGauge("apricotgrade_quarantined_prompt_parts", nil)}
+	return &managedMetrics{
+		set: set, quarantinedParts: set.NewGauge("apricotgrade_quarantined_prompt_parts", nil),
+		limitedTargets: set.NewGauge("apricotgrade_limited_targets", nil),
+	}
 }
 
 func (m *managedMetrics) recordInput(in state.Input) {
@@ -47,6 +52,10 @@
 			m.quarantinedParts.Inc()
 		case event.PromptPartReleased:
 			m.quarantinedParts.Dec()
+		case event.TargetLimitNamed:
+			m.limitedTargets.Inc()
+		case event.TargetLimitEnded:
+			m.limitedTargets.Dec()
 		}
 	}
 }
