Share the limit that a target names among all nodes

Cause: no part of the system read the limit. The bound on cold targets, the only one over all nodes, fell short of it in three ways: it was held for cold targets alone, a target without a token stayed eligible and hid others that were free, and no wait was expected of it. Class of fault: a bound that a target states for all of its senders is not known where targets are chosen.

The bound on cold targets becomes one on any rate: a rate, a burst, as many senders as the burst has requests, an equal share for each. Limits are read from any answer, reported to all nodes, and end with an answer that names none to a request sent later. Requests beyond all shares are refused at once.

TestLimitThatATargetNamesHoldsOverAllNodes failed before (28 to 34 requests in 4 s of 11 allowed) and passes.

--- a/pkg/core/dispatch/budget.go
+++ b/pkg/core/dispatch/budget.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"strconv"
 	"time"
 
@@ -79,41 +78,3 @@
 	}
 	return int(limit.ratio*float64(requests)+limit.base+limit.rounding) - retries
 }
-
-// coldTokenBucket limits the requests of one node to one cold target. Each sending
-// node gets an equal part of the rate that the target can serve, so the limit
-// holds over all nodes without coordination.
-type coldTokenBucket struct {
-	tokens    float64
-	updatedAt time.Duration
-}
-
-// coldSenders returns how many nodes may send to a cold target that serves rate
-// requests per second. If all of them send their first request at the same
-// moment, these requests are at most half of what the target serves in a second.
-// At least one node may send.
-func coldSenders(rate float64, nodes int) int { return max(min(nodes, int(rate/2)), 1) }
-
-// allowColdRequest reports whether this node may send a request to a cold target
-// now, and counts the request if so. All nodes select the same senders by
-// rendezvous hashing, without coordination.
-func (s *System) allowColdRequest(now time.Duration, t *target) bool {
-	senders := coldSenders(t.coldRate, s.managed.Nodes.Len())
-	if s.managed.Nodes.Len() > senders && !slices.Contains(rendezvous.Rank(string(t.id), s.managed.Nodes.Keys()).First(senders), s.tables.Self.ID) {
-		return false
-	}
-	return t.coldBucket.take(now, t.coldRate/float64(senders))
-}
-
-// take reports whether a token is available at the given rate in requests per
-// second, and consumes it if so.
-func (b *coldTokenBucket) take(now time.Duration, rate float64) bool {
-	burst := max(rate/4, 1)
-	b.tokens = min(b.tokens+rate*(now-b.updatedAt).Seconds(), burst)
-	b.updatedAt = now
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
-}
--- a/pkg/core/dispatch/dispatch.go
+++ b/pkg/core/dispatch/dispatch.go
@@ -65,6 +65,10 @@
 	failovers *state.DueQueue[state.RequestID]
 	deletions *state.DueQueue[state.RequestID]
 	demand    map[string]*decayingRate
+	// changedNodes collects the changes of the registered nodes, of which nodesVersion
+	// counts those that were seen.
+	changedNodes *state.DirtySet[state.NodeID]
+	nodesVersion uint64
 	// quarantineVersion is the QuarantineVersion up to which open requests have been
 	// ended.
 	quarantineVersion uint64
@@ -79,6 +83,7 @@
 		activeRequests: map[state.RequestID]*activeRequest{}, retryBudgets: map[string]*retryBudget{},
 		deadlines: state.NewDueQueue[state.RequestID](), failovers: state.NewDueQueue[state.RequestID](),
 		deletions: state.NewDueQueue[state.RequestID](), demand: map[string]*decayingRate{}, admissionClosesAt: -1,
+		changedNodes: t.Managed.Nodes.Subscribe(),
 	}
 }
 
--- a/pkg/core/dispatch/place.go
+++ b/pkg/core/dispatch/place.go
@@ -74,15 +74,14 @@
 		candidates = s.sample(candidates)
 	}
 	candidates = nearBestCandidates(candidates)
-	for len(candidates) > 0 {
-		i := s.tables.Rand.IntN(len(candidates))
-		t := candidates[i].target
-		if now >= t.coldUntil || s.allowColdRequest(now, t) {
-			return t
-		}
-		candidates = slices.Delete(candidates, i, i+1)
+	if len(candidates) == 0 {
+		return nil
+	}
+	t := candidates[s.tables.Rand.IntN(len(candidates))].target
+	if share := s.share(now, t); share != nil {
+		share.take(now)
 	}
-	return nil
+	return t
 }
 
 // sample returns up to sampleSize candidates, drawn at random. Most of them are of the
@@ -140,10 +139,15 @@
 	if slices.Contains(active.req.TriedTargets, state.TargetID(t.id)) {
 		return false
 	}
+	slots := t.slots
 	if t.engine == nil {
-		return t.inFlight() < t.slots*plainRequestsPerSlot
+		slots *= plainRequestsPerSlot
+	}
+	if t.inFlight() >= slots {
+		return false
 	}
-	return t.inFlight() < t.slots
+	share := s.share(now, t)
+	return share == nil || share.wait(now) == 0
 }
 
 // cost returns the predicted time to the first event at a target, plus penalties
--- a/pkg/core/dispatch/queue.go
+++ b/pkg/core/dispatch/queue.go
@@ -88,13 +88,14 @@
 
 // expectedWait returns the time until a target becomes free for the request at a
 // position in the queue of a pool, at the recent rate of ended attempts of this
-// node. It returns 0 if none has ended.
+// node, and not before boundedWait. That rate counts as no wait if none has ended.
 func (s *System) expectedWait(now time.Duration, pool *targetPool, position int) time.Duration {
+	bounded := s.boundedWait(now, pool, position)
 	pool.attemptEndRate.decay(now)
 	if pool.attemptEndRate.perSecond <= 0 {
-		return 0
+		return bounded
 	}
-	return time.Duration(float64(position) / pool.attemptEndRate.perSecond * float64(time.Second))
+	return max(bounded, time.Duration(float64(position)/pool.attemptEndRate.perSecond*float64(time.Second)))
 }
 
 // retryAfter returns a Retry-After time between half and one and a half times the
--- a/pkg/core/dispatch/target.go
+++ b/pkg/core/dispatch/target.go
@@ -36,9 +36,10 @@
 	slots      int
 	// coldRate is the number of requests per second that the target can serve before
 	// coldUntil.
-	coldRate   float64
-	coldUntil  time.Duration
-	coldBucket coldTokenBucket
+	coldRate  float64
+	coldUntil time.Duration
+	// share is this node's share of the bound on the target, if it has one.
+	share rateShare
 	// usable is false once the target may get no new requests: its instance is gone
 	// or draining, no longer leads an open group, or is in an evacuated data centre.
 	usable bool
--- a/pkg/core/inventory/inventory.go
+++ b/pkg/core/inventory/inventory.go
@@ -60,10 +60,13 @@
 	// expiredInstances holds the instances whose entries expired during a store
 	// outage.
 	expiredInstances *state.DueQueue[state.HostID]
-	restoration      restoration
-	startup          startup
-	nextPurgeAt      time.Duration
-	storeFailing     bool
+	// announcedLimits holds the last report on the limit of each target, by this node or by
+	// a peer, with its time in ConfirmedAt.
+	announcedLimits map[state.HostID]state.TargetLimit
+	restoration     restoration
+	startup         startup
+	nextPurgeAt     time.Duration
+	storeFailing    bool
 	// inOutage is the last result of isStoreDown.
 	inOutage            bool
 	nextPeerStatusAt    time.Duration
@@ -93,7 +96,7 @@
 func New(t *state.Tables) *System {
 	return &System{
 		tables: t, managed: t.Managed, expiredInstances: state.NewDueQueue[state.HostID](),
-		restoration: newRestoration(), startup: newStartup(),
+		announcedLimits: map[state.HostID]state.TargetLimit{}, restoration: newRestoration(), startup: newStartup(),
 		linkedPeers: t.Managed.LinkedPeers, peerStatuses: map[state.NodeID]*state.PeerStatus{},
 		lastReachableAt: map[state.NodeID]time.Duration{},
 	}
--- a/pkg/core/inventory/peers.go
+++ b/pkg/core/inventory/peers.go
@@ -38,6 +38,7 @@
 			out.Add(state.SendPeer{To: in.Peer, Message: state.Message{HistoryRequest: &state.HistoryRequest{}}})
 		}
 		s.sendLeaving(in.Peer, out)
+		s.sendLimits(now, in.Peer, out)
 		return
 	}
 	delete(s.linkedPeers, in.Peer)
@@ -73,6 +74,8 @@
 		s.updateFreshness(now, out)
 	case m.Departure != nil:
 		s.recordLeaving(now, *m.Departure, in.From, out)
+	case m.TargetLimitReport != nil:
+		s.handleLimitReport(now, m.TargetLimitReport, in.From, out)
 	}
 }
 
--- a/pkg/core/rendezvous/rendezvous.go
+++ b/pkg/core/rendezvous/rendezvous.go
@@ -25,6 +25,17 @@
 	return scoreA > scoreB || scoreA == scoreB && a < b
 }
 
+// Position returns how many of the given nodes rank before a node for a key.
+func Position(key string, nodes []state.NodeID, node state.NodeID) int {
+	position, score := 0, Score(key, node)
+	for _, other := range nodes {
+		if other != node && Before(Score(key, other), other, score, node) {
+			position++
+		}
+	}
+	return position
+}
+
 // Ranking yields nodes in rendezvous order. It selects each node on demand
 // instead of sorting, because most callers need only the first few.
 type Ranking struct {
--- a/pkg/core/state/managedstate.go
+++ b/pkg/core/state/managedstate.go
@@ -144,14 +144,29 @@
 	Until   time.Duration
 }
 
+// Limit returns the limit that a process of a target names, and false if it names none.
+func (m *ManagedState) Limit(id HostID, startID int64) (float64, bool) {
+	limit, ok := m.TargetLimits[id]
+	return limit.Rate, ok && limit.StartID == startID
+}
+
 // TargetLimit is the number of requests per second that a process of a target takes from
 // all nodes together.
 type TargetLimit struct {
-	Host    HostID
-	StartID int64
-	Rate    float64
+	Host    HostID  `cbor:"1,keyasint"`
+	StartID int64   `cbor:"2,keyasint,omitempty"`
+	Rate    float64 `cbor:"3,keyasint,omitempty"`
+	// Ended is set in a report on a target that names no limit any more.
+	Ended bool `cbor:"4,keyasint,omitempty"`
+	// Age is the time since ConfirmedAt in a report.
+	Age time.Duration `cbor:"5,keyasint,omitempty"`
 	// ConfirmedAt is when the target was last known to name the limit.
-	ConfirmedAt time.Duration
+	ConfirmedAt time.Duration `cbor:"-"`
+}
+
+// TargetLimitReport spreads what targets say about their limits to all nodes.
+type TargetLimitReport struct {
+	Limits []TargetLimit `cbor:"1,keyasint"`
 }
 
 // TableKind identifies a table of the platform's store.
--- a/pkg/core/state/message.go
+++ b/pkg/core/state/message.go
@@ -28,7 +28,8 @@
 	History        *History        `cbor:"18,keyasint,omitempty"`
 	Departure      *Departure      `cbor:"19,keyasint,omitempty"`
 
-	PromptPartReport *PromptPartReport `cbor:"20,keyasint,omitempty"`
+	PromptPartReport  *PromptPartReport  `cbor:"20,keyasint,omitempty"`
+	TargetLimitReport *TargetLimitReport `cbor:"21,keyasint,omitempty"`
 }
 
 // LeaseHandover transfers the formation lease to a peer during an outage of the
