--- a/pkg/core/state/routedrequest.go
+++ b/pkg/core/state/routedrequest.go
@@ -24,6 +24,8 @@
 	// PromptParts are the parts of the prompt that other requests may share, in
 	// their order. The part of the request itself is not among them.
 	PromptParts []PromptPartID
+	// Fingerprint is the same for repetitions of the request.
+	Fingerprint Fingerprint
 	// HeaderBytes and BodyBytes are the sizes of the request's header and body.
 	HeaderBytes int
 	BodyBytes   int
--- a/pkg/gateway/routedgateway.go
+++ b/pkg/gateway/routedgateway.go
@@ -136,6 +136,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	routedRequest.HeaderBytes, routedRequest.BodyBytes = headerSize(r.Header), len(body)
+	routedRequest.Fingerprint = state.NewFingerprint(r.Method, r.RequestURI, &routedRequest, body)
 	request := &callerRequest{
 		method: r.Method, path: r.RequestURI, header: r.Header, body: body,
 		arrival: state.RequestArrived{ID: newRequestID(), Method: r.Method, Path: routedRequest.Path, Routed: &routedRequest},
