--- a/pkg/core/dispatch/dispatch.go
+++ b/pkg/core/dispatch/dispatch.go
@@ -174,7 +174,7 @@
 	if route.Timeout > 0 {
 		req.Deadline = min(req.Deadline, now+route.Timeout)
 	}
-	return s.checkPromptParts(now, req)
+	return s.checkTraits(now, req)
 }
 
 // checkSize returns an error if a request exceeds the configured size limits. A
--- a/pkg/core/dispatch/quarantine.go
+++ b/pkg/core/dispatch/quarantine.go
@@ -8,48 +8,49 @@
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 )
 
-// checkPromptParts sets the parts by which a request is judged, and returns an error if
-// one of them is in quarantine.
-func (s *System) checkPromptParts(now time.Duration, req *state.Request) *apierror.Error {
-	if s.index.services[req.Service].Engine == nil {
-		return nil
-	}
-	req.PromptParts = req.Arrival.Routed.PromptParts
+// checkTraits sets the traits by which a request is judged, and returns an error if one
+// of them is in quarantine.
+func (s *System) checkTraits(now time.Duration, req *state.Request) *apierror.Error {
+	req.Traits = req.Arrival.Routed.Traits(s.index.services[req.Service].Engine != nil)
 	if !s.isQuarantined(req) {
 		return nil
 	}
 	return s.quarantineRefusal(now, req)
 }
 
-// isQuarantined reports whether a part of a request is in quarantine.
+// isQuarantined reports whether a trait of a request is in quarantine.
 //
 // A request that was lost with the beginning of its answer is repeated as long as none
-// of its parts is in quarantine. A part at fault ends the same number of targets until
+// of its traits is in quarantine. A trait at fault ends the same number of targets until
 // its quarantine, whether by repeats or by new requests, while a repeat that starts
-// shows that the parts are sound, and serves its caller.
+// shows that the traits are sound, and serves its caller.
 func (s *System) isQuarantined(req *state.Request) bool {
-	if len(s.managed.QuarantinedParts) == 0 || s.tables.Switches.IgnoreQuarantine {
+	if len(s.managed.Quarantined) == 0 || s.tables.Switches.IgnoreQuarantine {
 		return false
 	}
-	return slices.ContainsFunc(req.PromptParts, func(part state.PromptPartID) bool {
-		_, quarantined := s.managed.QuarantinedParts[part]
+	return slices.ContainsFunc(req.Traits, func(trait state.Trait) bool {
+		_, quarantined := s.managed.Quarantined[trait]
 		return quarantined
 	})
 }
 
-// quarantineRefusal returns the error for a request with a part in quarantine. Its
+// quarantineRefusal returns the error for a request with a trait in quarantine. Its
 // Retry-After time is not shortened to what the deadline allows, because the request is
 // refused again until the review.
 func (s *System) quarantineRefusal(now time.Duration, req *state.Request) *apierror.Error {
-	reviewAt := now
-	for _, part := range req.PromptParts {
-		reviewAt = max(reviewAt, s.managed.QuarantinedParts[part])
+	reviewAt, code, message := now, "prompt_part_quarantined",
+		"a part of the prompt has ended each target that began to answer it; send the request without this part"
+	for _, trait := range req.Traits {
+		until, quarantined := s.managed.Quarantined[trait]
+		reviewAt = max(reviewAt, until)
+		if quarantined && trait.Kind == state.RequestTrait {
+			code, message = "request_quarantined", "this request has ended each target that began to run it; do not send it again"
+		}
 	}
-	return unavailable("prompt_part_quarantined",
-		"a part of the prompt has ended each target that began to answer it; send the request without this part").WithRetryAfter(reviewAt - now)
+	return unavailable(code, message).WithRetryAfter(reviewAt - now)
 }
 
-// endQuarantined refuses the open requests with a part that has been put into
+// endQuarantined refuses the open requests with a trait that has been put into
 // quarantine, and cancels their attempts. A request with events goes on.
 func (s *System) endQuarantined(now time.Duration, out *state.Outbox) {
 	if s.quarantineVersion == s.managed.QuarantineVersion {
--- a/pkg/core/dispatch/quarantine_test.go
+++ b/pkg/core/dispatch/quarantine_test.go
@@ -15,6 +15,8 @@
 	faultyPart = state.PromptPartID(0xfa)
 )
 
+var faultyTrait = state.Trait{Kind: state.PromptPartTrait, ID: uint64(faultyPart)}
+
 // crash feeds the loss of the connection of the last attempt of a request after the head
 // of its answer.
 func (r *rig) crash(id state.RequestID) {
@@ -25,8 +27,8 @@
 
 // reportCrash feeds a crash that a peer has seen.
 func (r *rig) reportCrash(host string) {
-	r.step(state.PeerMessage{From: "n2", Message: state.Message{PromptPartReport: &state.PromptPartReport{
-		Crashes: []state.PromptPartCrash{{Part: faultyPart, Host: state.HostID(host), StartID: 1}},
+	r.step(state.PeerMessage{From: "n2", Message: state.Message{TraitReport: &state.TraitReport{
+		Crashes: []state.TraitCrash{{Trait: faultyTrait, Host: state.HostID(host), StartID: 1}},
 	}}})
 }
 
@@ -49,7 +51,7 @@
 // which the crashes alone are not enough.
 func (r *rig) quarantineStartedPart() {
 	r.quarantinePart()
-	r.tables.Managed.QuarantinedParts[faultyPart] = r.now + 10*time.Minute
+	r.tables.Managed.Quarantined[faultyTrait] = r.now + 10*time.Minute
 	r.tables.Managed.QuarantineVersion++
 	r.step(state.Tick{})
 }
@@ -176,7 +178,7 @@
 		r.endAttempt(id, state.FailureNone, apierror.Done)
 		r.advance(time.Second)
 	}
-	g.Expect(r.tables.Managed.QuarantinedParts).To(gomega.BeEmpty())
+	g.Expect(r.tables.Managed.Quarantined).To(gomega.BeEmpty())
 }
 
 // TestEndSeenByTwoNodesCountsOnce guards against a quarantine after the end of two
@@ -188,9 +190,9 @@
 	id := r.sendRequestWithParts("/a/", 10, faultyPart)
 	r.reportCrash(string(r.lastAttempt(id).Target))
 	r.crash(id)
-	g.Expect(r.tables.Managed.QuarantinedParts).To(gomega.BeEmpty())
+	g.Expect(r.tables.Managed.Quarantined).To(gomega.BeEmpty())
 	r.reportCrash("x2")
-	g.Expect(r.tables.Managed.QuarantinedParts).To(gomega.HaveKey(faultyPart))
+	g.Expect(r.tables.Managed.Quarantined).To(gomega.HaveKey(faultyTrait))
 }
 
 // TestEndOfSilentAttemptCounts guards against the end of a target that goes unnoticed, and
@@ -215,7 +217,7 @@
 	r.reportCrash("x2")
 	r.reportAttempt(id, 1, state.AttemptFirstByte)
 	r.reportCrash("x3")
-	g.Expect(r.tables.Managed.QuarantinedParts).To(gomega.BeEmpty())
+	g.Expect(r.tables.Managed.Quarantined).To(gomega.BeEmpty())
 }
 
 // TestStartReleasesPart guards against a part that stays refused although an attempt that
--- a/pkg/core/inventory/limit_test.go
+++ b/pkg/core/inventory/limit_test.go
@@ -20,10 +20,10 @@
 	r.step(state.TargetNotice{Host: "i1", StartID: 1, Limit: limit, SentAt: sentAt})
 }
 
-// limitReports returns the reports on limits that were sent to a peer since the last call.
-func (r *rig) limitReports(to state.NodeID) []state.TargetLimit {
+// limitReports returns the reports on limits that were sent to the peer since the last call.
+func (r *rig) limitReports() []state.TargetLimit {
 	var limits []state.TargetLimit
-	for _, m := range r.messagesTo(to) {
+	for _, m := range r.messagesTo("n01") {
 		if m.TargetLimitReport != nil {
 			limits = append(limits, m.TargetLimitReport.Limits...)
 		}
@@ -58,7 +58,7 @@
 	r.advance(100 * time.Millisecond)
 	r.answer(-1, r.now)
 	g.Expect(r.managed.TargetLimits).To(gomega.BeEmpty())
-	g.Expect(r.limitReports("n01")).To(gomega.ContainElement(state.TargetLimit{Host: "i1", StartID: 1, Ended: true}))
+	g.Expect(r.limitReports()).To(gomega.ContainElement(state.TargetLimit{Host: "i1", StartID: 1, Ended: true}))
 }
 
 // TestReportOfHostNamesLimit guards against a limit that is overlooked because only the
@@ -81,16 +81,16 @@
 		r.answer(3.6, r.now)
 		r.advance(100 * time.Millisecond)
 	}
-	g.Expect(r.limitReports("n01")).To(gomega.HaveLen(2), "in 4 s")
+	g.Expect(r.limitReports()).To(gomega.HaveLen(2), "in 4 s")
 	r.answer(3.7, r.now)
-	g.Expect(r.limitReports("n01")).To(gomega.BeEmpty(), "a small change")
+	g.Expect(r.limitReports()).To(gomega.BeEmpty(), "a small change")
 	r.answer(1.8, r.now)
-	g.Expect(r.limitReports("n01")).To(gomega.HaveLen(1), "half of the limit")
+	g.Expect(r.limitReports()).To(gomega.HaveLen(1), "half of the limit")
 	r.advance(time.Second)
 	r.receiveLimit(state.TargetLimit{Host: "i1", StartID: 1, Rate: 1.8})
 	r.advance(2 * time.Second)
 	r.answer(1.8, r.now)
-	g.Expect(r.limitReports("n01")).To(gomega.BeEmpty(), "a peer has reported it")
+	g.Expect(r.limitReports()).To(gomega.BeEmpty(), "a peer has reported it")
 }
 
 // TestPeersLearnOfLimits guards against peers that do not know a limit, also those whose
@@ -105,7 +105,7 @@
 	r.advance(500 * time.Millisecond)
 	r.outputs = nil
 	r.step(state.PeerLinkChanged{Peer: "n01", Up: true})
-	g.Expect(r.limitReports("n01")).To(gomega.Equal([]state.TargetLimit{{Host: "i1", StartID: 1, Rate: 3.6, Age: 500 * time.Millisecond, ConfirmedAt: r.now - 500*time.Millisecond}}))
+	g.Expect(r.limitReports()).To(gomega.Equal([]state.TargetLimit{{Host: "i1", StartID: 1, Rate: 3.6, Age: 500 * time.Millisecond, ConfirmedAt: r.now - 500*time.Millisecond}}))
 	r.answer(1.2, r.now)
 	r.receiveLimit(state.TargetLimit{Host: "i1", StartID: 1, Rate: 3.6, Age: 200 * time.Millisecond})
 	rate, _ = r.managed.Limit("i1", 1)
--- a/pkg/core/quarantine/ledger.go
+++ b/pkg/core/quarantine/ledger.go
@@ -10,23 +10,24 @@
 )
 
 const (
-	// minCrashes is the number of processes that must have ended with a part before it
+	// minCrashes is the number of processes that must have ended with a trait before it
 	// is put into quarantine. A sound part that one of k requests holds is taken for
 	// faulty only if its requests are lost three times in a row in the short time
 	// between the beginning of their answer and its first event.
 	minCrashes = 3
-	// reviewTime is how long no request with a part in quarantine must have arrived
-	// before the next one is run. One more crash then puts the part back at once.
+	// reviewTime is how long no request with a trait in quarantine must have arrived
+	// before the next one is run. One more crash then puts the trait back at once.
 	reviewTime = 10 * time.Minute
-	// minOtherStarts is how many requests without the part must have started at this
-	// node since the third crash if the part started here in the last minute. When many
+	// minOtherStarts is how many requests without the trait must have started at this
+	// node since the third crash if the trait started here in the last minute. When many
 	// targets are lost at the same moment, as by a reset of the node's own connections,
-	// a part that many requests have may crash at three of them before any request can
+	// a trait that many requests have may crash at three of them before any request can
 	// start again.
 	minOtherStarts = 40
-	// maxParts and maxCrashesPerPart bound the memory. Parts without crashes take none.
-	maxParts          = 256
-	maxCrashesPerPart = 16
+	// maxTraits, for each kind, and maxCrashesPerTrait bound the memory. Traits without
+	// crashes take none.
+	maxTraits          = 256
+	maxCrashesPerTrait = 16
 	// clearedRetention is how long a cleared crash is remembered, so that a late report
 	// does not bring it back.
 	clearedRetention = time.Minute
@@ -40,32 +41,31 @@
 	StartID int64
 }
 
-// Ledger holds the evidence on prompt parts and decides which of them are in
-// quarantine. It does not depend on the order in which crashes and clears arrive.
+// Ledger holds the evidence on traits and decides which of them are in quarantine. It does not depend on the order in which crashes and clears arrive.
 type Ledger struct {
-	parts map[state.PromptPartID]*partRecord
-	// quarantined holds the parts in quarantine with the time of their review.
-	quarantined map[state.PromptPartID]time.Duration
+	records map[state.Trait]*traitRecord
+	// quarantined holds the traits in quarantine with the time of their review.
+	quarantined map[state.Trait]time.Duration
 	// accused holds the processes of crashes that are not cleared, with the time at
 	// which the first of these became known.
 	accused map[Process]time.Duration
-	// pending holds the parts with minCrashes that wait for other starts.
-	pending map[state.PromptPartID]bool
-	recent  recentParts
+	// pending holds the traits with minCrashes that wait for other starts.
+	pending map[state.Trait]bool
+	recent  [state.TraitKinds]recentTraits
 	// starts counts the starts at this node.
 	starts      uint64
 	transitions []Transition
 	nextPurgeAt time.Duration
 }
 
-// partRecord holds the crashes of a part.
-type partRecord struct {
+// traitRecord holds the crashes of a trait.
+type traitRecord struct {
 	// crashes are in the order in which they became known.
 	crashes []crashRecord
 	knownAt time.Duration
 	// reviewed is set after a quarantine has ended without a start.
 	reviewed bool
-	// startsBefore is the number of starts at this node when the part became pending.
+	// startsBefore is the number of starts at this node when the trait became pending.
 	startsBefore uint64
 }
 
@@ -79,34 +79,34 @@
 // Transition is the beginning or the end of a quarantine. Targets is the number of
 // processes whose crashes are not cleared.
 type Transition struct {
-	Part        state.PromptPartID
+	Trait       state.Trait
 	Quarantined bool
 	Targets     int
-	// Reviewed is set if the quarantine ended without a sign that the part is sound.
+	// Reviewed is set if the quarantine ended without a sign that the trait is sound.
 	Reviewed bool
 }
 
 // NewLedger returns a ledger without evidence.
 func NewLedger() *Ledger {
 	return &Ledger{
-		parts: map[state.PromptPartID]*partRecord{}, quarantined: map[state.PromptPartID]time.Duration{},
-		accused: map[Process]time.Duration{}, pending: map[state.PromptPartID]bool{},
+		records: map[state.Trait]*traitRecord{}, quarantined: map[state.Trait]time.Duration{},
+		accused: map[Process]time.Duration{}, pending: map[state.Trait]bool{},
 	}
 }
 
 // Crash records that a process ended when it began to answer a request with the given
-// parts. It returns what peers do not know.
-func (l *Ledger) Crash(now time.Duration, process Process, parts []state.PromptPartID) []state.PromptPartCrash {
-	crashes := make([]state.PromptPartCrash, 0, len(parts))
-	for _, part := range parts {
-		crashes = append(crashes, state.PromptPartCrash{Part: part, Host: process.Host, StartID: process.StartID})
+// traits. It returns what peers do not know.
+func (l *Ledger) Crash(now time.Duration, process Process, traits []state.Trait) []state.TraitCrash {
+	crashes := make([]state.TraitCrash, 0, len(traits))
+	for _, trait := range traits {
+		crashes = append(crashes, state.TraitCrash{Trait: trait, Host: process.Host, StartID: process.StartID})
 	}
 	return l.Merge(now, crashes)
 }
 
 // Merge adds crashes and clears that a peer reported. It returns those that are new.
-func (l *Ledger) Merge(now time.Duration, crashes []state.PromptPartCrash) []state.PromptPartCrash {
-	var news []state.PromptPartCrash
+func (l *Ledger) Merge(now time.Duration, crashes []state.TraitCrash) []state.TraitCrash {
+	var news []state.TraitCrash
 	for _, crash := range crashes {
 		if l.merge(now, crash) {
 			news = append(news, crash)
@@ -115,15 +115,15 @@
 	return news
 }
 
-func (l *Ledger) merge(now time.Duration, crash state.PromptPartCrash) bool {
+func (l *Ledger) merge(now time.Duration, crash state.TraitCrash) bool {
 	process := Process{crash.Host, crash.StartID}
-	record := l.parts[crash.Part]
+	record := l.records[crash.Trait]
 	if record == nil {
-		if len(l.parts) >= maxParts && !l.evictPart() {
+		if l.countKind(crash.Trait.Kind) >= maxTraits && !l.evictTrait(crash.Trait.Kind) {
 			return false
 		}
-		record = &partRecord{knownAt: now}
-		l.parts[crash.Part] = record
+		record = &traitRecord{knownAt: now}
+		l.records[crash.Trait] = record
 	}
 	i := slices.IndexFunc(record.crashes, func(c crashRecord) bool { return c.process == process })
 	switch {
@@ -132,7 +132,7 @@
 	case i >= 0:
 		record.crashes[i].cleared, record.crashes[i].at = true, now
 	default:
-		if len(record.crashes) >= maxCrashesPerPart {
+		if len(record.crashes) >= maxCrashesPerTrait {
 			record.crashes = slices.Delete(record.crashes, 0, 1)
 		}
 		record.crashes = append(record.crashes, crashRecord{process, crash.Cleared, now})
@@ -140,90 +140,90 @@
 	if _, known := l.accused[process]; !known && !crash.Cleared {
 		l.accused[process] = now
 	}
-	l.judge(now, crash.Part, i < 0 && !crash.Cleared)
+	l.judge(now, crash.Trait, i < 0 && !crash.Cleared)
 	return true
 }
 
-// Start records the first event of a request with the given parts, which was sent to
-// the process at sentAt. It clears the crashes of the parts, and those of the process
+// Start records the first event of a request with the given traits, which was sent to
+// the process at sentAt. It clears the crashes of the traits, and those of the process
 // that were known when the request was sent: it had not ended. Start returns what peers
 // do not know.
-func (l *Ledger) Start(now time.Duration, process Process, sentAt time.Duration, parts []state.PromptPartID) []state.PromptPartCrash {
+func (l *Ledger) Start(now time.Duration, process Process, sentAt time.Duration, traits []state.Trait) []state.TraitCrash {
 	l.starts++
-	var clears []state.PromptPartCrash
-	for _, part := range parts {
-		l.recent.add(now, part)
-		clears = append(clears, l.clear(now, part, func(Process) bool { return true })...)
+	var clears []state.TraitCrash
+	for _, trait := range traits {
+		l.recent[trait.Kind].add(now, trait)
+		clears = append(clears, l.clear(now, trait, func(Process) bool { return true })...)
 	}
 	if at, accused := l.accused[process]; accused && sentAt > at {
 		delete(l.accused, process)
-		for _, part := range slices.Sorted(maps.Keys(l.parts)) {
-			clears = append(clears, l.clear(now, part, func(p Process) bool { return p == process })...)
+		for _, trait := range sortedTraits(l.records) {
+			clears = append(clears, l.clear(now, trait, func(p Process) bool { return p == process })...)
 		}
 	}
-	for _, part := range slices.Sorted(maps.Keys(l.pending)) {
-		l.judge(now, part, false)
+	for _, trait := range sortedTraits(l.pending) {
+		l.judge(now, trait, false)
 	}
 	return clears
 }
 
-// clear clears the crashes of a part at the selected processes.
-func (l *Ledger) clear(now time.Duration, part state.PromptPartID, selects func(Process) bool) []state.PromptPartCrash {
-	record := l.parts[part]
+// clear clears the crashes of a trait at the selected processes.
+func (l *Ledger) clear(now time.Duration, trait state.Trait, selects func(Process) bool) []state.TraitCrash {
+	record := l.records[trait]
 	if record == nil {
 		return nil
 	}
-	var clears []state.PromptPartCrash
+	var clears []state.TraitCrash
 	for i := range record.crashes {
 		if c := &record.crashes[i]; !c.cleared && selects(c.process) {
 			c.cleared, c.at = true, now
-			clears = append(clears, state.PromptPartCrash{Part: part, Host: c.process.Host, StartID: c.process.StartID, Cleared: true})
+			clears = append(clears, state.TraitCrash{Trait: trait, Host: c.process.Host, StartID: c.process.StartID, Cleared: true})
 		}
 	}
 	if len(clears) > 0 {
-		l.judge(now, part, false)
+		l.judge(now, trait, false)
 	}
 	return clears
 }
 
-// judge begins or ends the quarantine of a part. isNew is set if a crash has just
+// judge begins or ends the quarantine of a trait. isNew is set if a crash has just
 // become known.
-func (l *Ledger) judge(now time.Duration, part state.PromptPartID, isNew bool) {
-	record := l.parts[part]
+func (l *Ledger) judge(now time.Duration, trait state.Trait, isNew bool) {
+	record := l.records[trait]
 	count := record.count()
-	_, quarantined := l.quarantined[part]
+	_, quarantined := l.quarantined[trait]
 	if count < minCrashes {
 		record.reviewed = false
-		delete(l.pending, part)
+		delete(l.pending, trait)
 		if quarantined {
-			delete(l.quarantined, part)
-			l.transitions = append(l.transitions, Transition{Part: part, Targets: count})
+			delete(l.quarantined, trait)
+			l.transitions = append(l.transitions, Transition{Trait: trait, Targets: count})
 		}
 		return
 	}
-	if quarantined || record.reviewed && !isNew || l.mustWait(now, part, record) {
+	if quarantined || record.reviewed && !isNew || l.mustWait(now, trait, record) {
 		return
 	}
-	delete(l.pending, part)
+	delete(l.pending, trait)
 	record.reviewed = false
-	l.quarantined[part] = now + reviewTime
-	l.transitions = append(l.transitions, Transition{Part: part, Quarantined: true, Targets: count})
+	l.quarantined[trait] = now + reviewTime
+	l.transitions = append(l.transitions, Transition{Trait: trait, Quarantined: true, Targets: count})
 }
 
-// mustWait reports whether other requests must start before a part with enough crashes
+// mustWait reports whether other requests must start before a trait with enough crashes
 // is put into quarantine.
-func (l *Ledger) mustWait(now time.Duration, part state.PromptPartID, record *partRecord) bool {
-	if !l.pending[part] {
-		if !l.recent.has(now, part) {
+func (l *Ledger) mustWait(now time.Duration, trait state.Trait, record *traitRecord) bool {
+	if !l.pending[trait] {
+		if !l.recent[trait.Kind].has(now, trait) {
 			return false
 		}
-		l.pending[part], record.startsBefore = true, l.starts
+		l.pending[trait], record.startsBefore = true, l.starts
 	}
 	return l.starts-record.startsBefore < minOtherStarts
 }
 
 // count returns the number of crashes that are not cleared.
-func (r *partRecord) count() int {
+func (r *traitRecord) count() int {
 	count := 0
 	for _, c := range r.crashes {
 		if !c.cleared {
@@ -233,14 +233,11 @@
 	return count
 }
 
-// Arrive records the arrival of a request and defers the review of its parts.
-func (l *Ledger) Arrive(now time.Duration, parts []state.PromptPartID) {
-	if len(l.quarantined) == 0 {
-		return
-	}
-	for _, part := range parts {
-		if _, quarantined := l.quarantined[part]; quarantined {
-			l.quarantined[part] = now + reviewTime
+// Arrive records the arrival of a request and defers the review of its traits.
+func (l *Ledger) Arrive(now time.Duration, traits []state.Trait) {
+	for _, trait := range traits {
+		if _, quarantined := l.quarantined[trait]; quarantined {
+			l.quarantined[trait] = now + reviewTime
 		}
 	}
 }
@@ -251,18 +248,18 @@
 		return
 	}
 	l.nextPurgeAt = now + purgePeriod
-	for _, part := range slices.Sorted(maps.Keys(l.quarantined)) {
-		if now >= l.quarantined[part] {
-			delete(l.quarantined, part)
-			l.parts[part].reviewed = true
-			l.transitions = append(l.transitions, Transition{Part: part, Targets: l.parts[part].count(), Reviewed: true})
+	for _, trait := range sortedTraits(l.quarantined) {
+		if now >= l.quarantined[trait] {
+			delete(l.quarantined, trait)
+			l.records[trait].reviewed = true
+			l.transitions = append(l.transitions, Transition{Trait: trait, Targets: l.records[trait].count(), Reviewed: true})
 		}
 	}
 	accused := map[Process]bool{}
-	for part, record := range l.parts {
+	for trait, record := range l.records {
 		record.crashes = slices.DeleteFunc(record.crashes, func(c crashRecord) bool { return c.cleared && now-c.at > clearedRetention })
 		if len(record.crashes) == 0 {
-			delete(l.parts, part)
+			delete(l.records, trait)
 		}
 		for _, c := range record.crashes {
 			accused[c.process] = accused[c.process] || !c.cleared
@@ -278,33 +275,37 @@
 	return transitions
 }
 
-// Quarantined returns the parts in quarantine with the time of their review. The map
+// Quarantined returns the traits in quarantine with the time of their review. The map
 // belongs to the ledger.
-func (l *Ledger) Quarantined() map[state.PromptPartID]time.Duration { return l.quarantined }
+func (l *Ledger) Quarantined() map[state.Trait]time.Duration { return l.quarantined }
 
-// Crashes returns at most limit crashes and clears: those of parts in quarantine first,
-// then those of the parts with most crashes.
-func (l *Ledger) Crashes(limit int) []state.PromptPartCrash {
-	parts := slices.SortedFunc(maps.Keys(l.parts), func(a, b state.PromptPartID) int {
-		return cmp.Or(-compareBool(l.isQuarantined(a), l.isQuarantined(b)), l.parts[b].count()-l.parts[a].count(), cmp.Compare(a, b))
+// Crashes returns at most limit crashes and clears: those of traits in quarantine first,
+// then those of the traits with most crashes.
+func (l *Ledger) Crashes(limit int) []state.TraitCrash {
+	traits := slices.SortedFunc(maps.Keys(l.records), func(a, b state.Trait) int {
+		return cmp.Or(-compareBool(l.isQuarantined(a), l.isQuarantined(b)), l.records[b].count()-l.records[a].count(), state.CompareTraits(a, b))
 	})
-	var crashes []state.PromptPartCrash
-	for _, part := range parts {
-		for _, c := range l.parts[part].crashes {
+	var crashes []state.TraitCrash
+	for _, trait := range traits {
+		for _, c := range l.records[trait].crashes {
 			if len(crashes) == limit {
 				return crashes
 			}
-			crashes = append(crashes, state.PromptPartCrash{Part: part, Host: c.process.Host, StartID: c.process.StartID, Cleared: c.cleared})
+			crashes = append(crashes, state.TraitCrash{Trait: trait, Host: c.process.Host, StartID: c.process.StartID, Cleared: c.cleared})
 		}
 	}
 	return crashes
 }
 
-func (l *Ledger) isQuarantined(part state.PromptPartID) bool {
-	_, quarantined := l.quarantined[part]
+func (l *Ledger) isQuarantined(trait state.Trait) bool {
+	_, quarantined := l.quarantined[trait]
 	return quarantined
 }
 
+func sortedTraits[V any](m map[state.Trait]V) []state.Trait {
+	return slices.SortedFunc(maps.Keys(m), state.CompareTraits)
+}
+
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
@@ -315,22 +316,33 @@
 	return -1
 }
 
-// evictPart forgets the part that has been known longest among those with the fewest
-// crashes. It returns false if all parts are in quarantine.
-func (l *Ledger) evictPart() bool {
-	var evicted state.PromptPartID
+// countKind returns the number of traits of a kind with crashes.
+func (l *Ledger) countKind(kind state.TraitKind) int {
+	count := 0
+	for trait := range l.records {
+		if trait.Kind == kind {
+			count++
+		}
+	}
+	return count
+}
+
+// evictTrait forgets the trait of a kind that has been known longest among those with the
+// fewest crashes. It returns false if all of them are in quarantine.
+func (l *Ledger) evictTrait(kind state.TraitKind) bool {
+	var evicted state.Trait
 	found := false
-	for part, record := range l.parts {
-		if l.isQuarantined(part) {
+	for trait, record := range l.records {
+		if trait.Kind != kind || l.isQuarantined(trait) {
 			continue
 		}
-		best := l.parts[evicted]
-		if !found || cmp.Or(cmp.Compare(record.count(), best.count()), cmp.Compare(record.knownAt, best.knownAt), cmp.Compare(part, evicted)) < 0 {
-			evicted, found = part, true
+		best := l.records[evicted]
+		if !found || cmp.Or(cmp.Compare(record.count(), best.count()), cmp.Compare(record.knownAt, best.knownAt), state.CompareTraits(trait, evicted)) < 0 {
+			evicted, found = trait, true
 		}
 	}
 	if found {
-		delete(l.parts, evicted)
+		delete(l.records, evicted)
 		delete(l.pending, evicted)
 	}
 	return found
--- a/pkg/core/quarantine/ledger_test.go
+++ b/pkg/core/quarantine/ledger_test.go
@@ -13,14 +13,14 @@
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 )
 
-const (
-	first  = state.PromptPartID(0xa1)
-	faulty = state.PromptPartID(0xfa)
-)
+var first, faulty = part(0xa1), part(0xfa)
+
+// part returns the trait of a prompt part.
+func part(id int) state.Trait { return state.Trait{Kind: state.PromptPartTrait, ID: uint64(id)} }
 
 func process(i int) Process { return Process{Host: state.HostID(fmt.Sprintf("h%d", i)), StartID: 1} }
 
-func parts(list ...state.PromptPartID) []state.PromptPartID { return list }
+func parts(list ...state.Trait) []state.Trait { return list }
 
 // TestPartThatEndsThreeTargetsIsQuarantined guards against a part that ends one target
 // after another, and against a quarantine of the sound part beside it or after fewer
@@ -36,7 +36,7 @@
 	}
 	g.Expect(l.Quarantined()).To(gomega.HaveLen(1))
 	g.Expect(l.Quarantined()).To(gomega.HaveKey(faulty))
-	g.Expect(l.Transitions()).To(gomega.Equal([]Transition{{Part: faulty, Quarantined: true, Targets: minCrashes}}))
+	g.Expect(l.Transitions()).To(gomega.Equal([]Transition{{Trait: faulty, Quarantined: true, Targets: minCrashes}}))
 }
 
 // TestStartEndsQuarantine guards against a part that stays in quarantine although a
@@ -54,7 +54,7 @@
 	g.Expect(a.Quarantined()).To(gomega.BeEmpty())
 	g.Expect(b.Quarantined()).To(gomega.BeEmpty())
 	// A late report does not bring it back, and nothing is passed on twice.
-	late := []state.PromptPartCrash{{Part: faulty, Host: "h0", StartID: 1}, {Part: faulty, Host: "h1", StartID: 1}, {Part: faulty, Host: "h2", StartID: 1}}
+	late := []state.TraitCrash{{Trait: faulty, Host: "h0", StartID: 1}, {Trait: faulty, Host: "h1", StartID: 1}, {Trait: faulty, Host: "h2", StartID: 1}}
 	g.Expect(b.Merge(2*time.Second, late)).To(gomega.BeEmpty())
 	g.Expect(b.Merge(2*time.Second, clears)).To(gomega.BeEmpty())
 	g.Expect(b.Quarantined()).To(gomega.BeEmpty())
@@ -67,10 +67,11 @@
 	const seed = 11
 	t.Logf("seed %d", seed)
 	rnd := rand.New(rand.NewPCG(seed, 0))
-	var reports []state.PromptPartCrash
-	for part := range state.PromptPartID(12) {
+	var reports []state.TraitCrash
+	for id := range 12 {
+		part := part(id)
 		for i := range 1 + rnd.IntN(6) {
-			crash := state.PromptPartCrash{Part: part, Host: process(i).Host, StartID: 1}
+			crash := state.TraitCrash{Trait: part, Host: process(i).Host, StartID: 1}
 			reports = append(reports, crash, crash)
 			if rnd.IntN(3) == 0 {
 				crash.Cleared = true
@@ -78,19 +79,19 @@
 			}
 		}
 	}
-	var want map[state.PromptPartCrash]bool
-	var wantParts []state.PromptPartID
+	var want map[state.TraitCrash]bool
+	var wantParts []state.Trait
 	for round := range 200 {
 		rnd.Shuffle(len(reports), func(i, j int) { reports[i], reports[j] = reports[j], reports[i] })
 		l := NewLedger()
 		for _, r := range reports {
-			l.Merge(time.Second, []state.PromptPartCrash{r})
+			l.Merge(time.Second, []state.TraitCrash{r})
 		}
-		got := map[state.PromptPartCrash]bool{}
+		got := map[state.TraitCrash]bool{}
 		for _, c := range l.Crashes(maxCrashesAtLinkUp) {
 			got[c] = true
 		}
-		gotParts := slices.Sorted(maps.Keys(l.Quarantined()))
+		gotParts := slices.SortedFunc(maps.Keys(l.Quarantined()), state.CompareTraits)
 		if round == 0 {
 			want, wantParts = got, gotParts
 			g.Expect(wantParts).NotTo(gomega.BeEmpty())
@@ -111,12 +112,12 @@
 		l.Crash(2*time.Second, process(i), parts(first))
 	}
 	for range minOtherStarts - 1 {
-		l.Start(4*time.Second, process(20), 3*time.Second, parts(0xb2))
+		l.Start(4*time.Second, process(20), 3*time.Second, parts(part(0xb2)))
 	}
 	g.Expect(l.Quarantined()).To(gomega.BeEmpty())
 	g.Expect(l.Start(4*time.Second, process(20), 3*time.Second, parts(first))).To(gomega.HaveLen(8))
 	for range minOtherStarts {
-		l.Start(4*time.Second, process(20), 3*time.Second, parts(0xb2))
+		l.Start(4*time.Second, process(20), 3*time.Second, parts(part(0xb2)))
 	}
 	g.Expect(l.Quarantined()).To(gomega.BeEmpty())
 }
@@ -151,7 +152,7 @@
 	g := gomega.NewWithT(t)
 	l := NewLedger()
 	for i := range minCrashes {
-		l.Crash(2*time.Second, process(i), parts(faulty, 0xfb))
+		l.Crash(2*time.Second, process(i), parts(faulty, part(0xfb)))
 	}
 	g.Expect(l.Quarantined()).To(gomega.HaveLen(2))
 	l.Start(2*time.Second, process(1), 2*time.Second, parts(first))
@@ -175,7 +176,7 @@
 	g.Expect(l.Quarantined()).To(gomega.HaveLen(1))
 	l.Transitions()
 	l.Tick(9*time.Minute + reviewTime)
-	g.Expect(l.Transitions()).To(gomega.Equal([]Transition{{Part: faulty, Targets: minCrashes, Reviewed: true}}))
+	g.Expect(l.Transitions()).To(gomega.Equal([]Transition{{Trait: faulty, Targets: minCrashes, Reviewed: true}}))
 	g.Expect(l.Quarantined()).To(gomega.BeEmpty())
 	l.Crash(20*time.Minute, process(0), parts(faulty))
 	g.Expect(l.Quarantined()).To(gomega.BeEmpty(), "an old crash")
@@ -183,7 +184,7 @@
 	g.Expect(l.Quarantined()).To(gomega.HaveLen(1))
 	l.Tick(31 * time.Minute)
 	g.Expect(l.Quarantined()).To(gomega.BeEmpty())
-	l.Merge(31*time.Minute, []state.PromptPartCrash{{Part: faulty, Host: "h0", StartID: 1, Cleared: true}})
+	l.Merge(31*time.Minute, []state.TraitCrash{{Trait: faulty, Host: "h0", StartID: 1, Cleared: true}})
 	g.Expect(l.Quarantined()).To(gomega.BeEmpty(), "no new crash")
 	l.Crash(31*time.Minute, process(6), parts(faulty))
 	g.Expect(l.Quarantined()).To(gomega.HaveLen(1))
@@ -198,33 +199,34 @@
 func TestLedgerIsBounded(t *testing.T) {
 	g := gomega.NewWithT(t)
 	l := NewLedger()
-	for i := range 3 * maxCrashesPerPart {
+	for i := range 3 * maxCrashesPerTrait {
 		l.Crash(time.Second, process(i), parts(faulty))
 	}
-	for i := range 4 * maxParts {
-		l.Crash(time.Duration(i)*time.Second, process(0), parts(state.PromptPartID(1000+i)))
+	for i := range 4 * maxTraits {
+		l.Crash(time.Duration(i)*time.Second, process(0), parts(part(1000+i)))
 	}
-	g.Expect(l.parts).To(gomega.HaveLen(maxParts))
-	g.Expect(l.parts[faulty].crashes).To(gomega.HaveLen(maxCrashesPerPart))
+	g.Expect(l.records).To(gomega.HaveLen(maxTraits))
+	g.Expect(l.records[faulty].crashes).To(gomega.HaveLen(maxCrashesPerTrait))
 	g.Expect(l.Quarantined()).To(gomega.HaveKey(faulty))
-	g.Expect(l.Crashes(1)[0].Part).To(gomega.Equal(faulty))
-	for i := range 5 * maxRecentParts {
-		l.Start(time.Hour, process(99), time.Hour, parts(state.PromptPartID(i)))
+	g.Expect(l.Crashes(1)[0].Trait).To(gomega.Equal(faulty))
+	for i := range 5 * maxRecentTraits {
+		l.Start(time.Hour, process(99), time.Hour, parts(part(i)))
 	}
-	g.Expect(len(l.recent.current) + len(l.recent.previous)).To(gomega.BeNumerically("<=", 2*maxRecentParts))
+	g.Expect(len(l.recent[0].current) + len(l.recent[0].previous)).To(gomega.BeNumerically("<=", 2*maxRecentTraits))
 	l.Start(time.Hour, process(99), time.Hour, parts(faulty))
 	for range 3 {
 		l.Tick(2 * time.Hour)
 	}
-	g.Expect(l.parts).NotTo(gomega.HaveKey(faulty), "a cleared crash is forgotten")
+	g.Expect(l.records).NotTo(gomega.HaveKey(faulty), "a cleared crash is forgotten")
 	// A part in quarantine is not forgotten for another one.
 	l = NewLedger()
-	for part := range state.PromptPartID(maxParts) {
+	for id := range maxTraits {
+		part := part(id)
 		for i := range minCrashes {
 			l.Crash(time.Second, process(i), parts(part))
 		}
 	}
-	g.Expect(l.Crash(2*time.Second, process(0), parts(maxParts))).To(gomega.BeEmpty())
-	g.Expect(l.Quarantined()).To(gomega.HaveLen(maxParts))
-	g.Expect(l.parts).To(gomega.HaveLen(maxParts))
+	g.Expect(l.Crash(2*time.Second, process(0), parts(part(maxTraits)))).To(gomega.BeEmpty())
+	g.Expect(l.Quarantined()).To(gomega.HaveLen(maxTraits))
+	g.Expect(l.records).To(gomega.HaveLen(maxTraits))
 }
--- a/pkg/core/quarantine/quarantine.go
+++ b/pkg/core/quarantine/quarantine.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"fmt"
 	"log/slog"
 	"net/http"
 	"slices"
@@ -19,11 +18,12 @@
 )
 
 // System is the quarantine system. It reads the rows of Requests as they were before
-// the input, so it comes before the dispatch system. It writes QuarantinedParts and
+// the input, so it comes before the dispatch system. It writes Quarantined and
 // QuarantineVersion of Managed.
 //
 // The evidence is spread to all nodes as it arises. It is rare: a crash has one entry
-// for each part of one request, and a clear is sent only for a crash that is known.
+// for each trait of the few requests that a process may have ended with, and a clear is
+// sent only for a crash that is known.
 type System struct {
 	tables  *state.Tables
 	managed *state.ManagedState
@@ -33,7 +33,7 @@
 // New returns the quarantine system.
 func New(t *state.Tables) *System {
 	s := &System{tables: t, managed: t.Managed, ledger: NewLedger()}
-	s.managed.QuarantinedParts = s.ledger.Quarantined()
+	s.managed.Quarantined = s.ledger.Quarantined()
 	return s
 }
 
@@ -42,13 +42,13 @@
 	from := state.NodeID("")
 	switch in := in.(type) {
 	case state.RequestArrived:
-		if in.Routed != nil {
-			s.ledger.Arrive(now, in.Routed.PromptParts)
+		if in.Routed != nil && len(s.managed.Quarantined) > 0 {
+			s.ledger.Arrive(now, in.Routed.Traits(true))
 		}
 	case state.AttemptEvent:
 		s.handleAttemptEvent(now, in, out)
 	case state.PeerMessage:
-		if report := in.Message.PromptPartReport; report != nil {
+		if report := in.Message.TraitReport; report != nil {
 			from = in.From
 			s.spread(s.ledger.Merge(now, report.Crashes), from, out)
 		}
@@ -62,10 +62,10 @@
 	s.logTransitions(from, out)
 }
 
-// handleAttemptEvent adds what an attempt shows on the parts of its request.
+// handleAttemptEvent adds what an attempt shows on the traits of its request.
 func (s *System) handleAttemptEvent(now time.Duration, ev state.AttemptEvent, out *state.Outbox) {
 	req := s.tables.Requests.Get(ev.Request)
-	if req == nil || len(req.PromptParts) == 0 {
+	if req == nil || len(req.Traits) == 0 {
 		return
 	}
 	attempt, open := req.OpenAttempt(ev.Attempt)
@@ -75,12 +75,35 @@
 	process := Process{Host: state.HostID(attempt.Target), StartID: attempt.StartID}
 	switch {
 	case isStart(ev):
-		s.spread(s.ledger.Start(now, process, attempt.SentAt, req.PromptParts), "", out)
-	case ev.LostBeforeFirstEvent() && req.Phase != state.RequestEnded && !req.AnswerStarted:
-		s.spread(s.ledger.Crash(now, process, req.PromptParts), "", out)
+		s.spread(s.ledger.Start(now, process, attempt.SentAt, req.Traits), "", out)
+	case isAnswer(ev):
+		s.spread(s.ledger.Start(now, process, attempt.SentAt, ofKind(req.Traits, state.RequestTrait)), "", out)
+	case isCrash(req, ev) && req.Phase != state.RequestEnded && !req.AnswerStarted:
+		s.spread(s.ledger.Crash(now, process, req.Traits), "", out)
 	}
 }
 
+// isCrash reports whether a target may have ended because it began to run a request. Of a
+// stream the head has arrived by then. Any other answer has no head before it is complete,
+// so that all requests at a target which ends look alike: those that it only held start at
+// another one.
+func isCrash(req *state.Request, ev state.AttemptEvent) bool {
+	if req.Route != nil && !req.Route.Stream {
+		return ev.LostBeforeAnswer()
+	}
+	return ev.LostBeforeFirstEvent()
+}
+
+// isAnswer reports whether a target has completed an answer to a request, of whatever
+// status: the request did not end it.
+func isAnswer(ev state.AttemptEvent) bool {
+	return ev.Stage == state.AttemptEnded && ev.EventCount == 0 && (ev.Failure == state.FailureNone || ev.Failure == state.FailureTargetError)
+}
+
+func ofKind(traits []state.Trait, kind state.TraitKind) []state.Trait {
+	return slices.DeleteFunc(slices.Clone(traits), func(t state.Trait) bool { return t.Kind != kind })
+}
+
 // isStart reports whether an event shows that a target could answer a request. The end
 // of an attempt with events is no second start, and an answer with another status does
 // not show that the prompt was read.
@@ -90,7 +113,7 @@
 }
 
 // spread sends evidence to all nodes.
-func (s *System) spread(crashes []state.PromptPartCrash, from state.NodeID, out *state.Outbox) {
+func (s *System) spread(crashes []state.TraitCrash, from state.NodeID, out *state.Outbox) {
 	if len(crashes) == 0 {
 		return
 	}
@@ -99,9 +122,9 @@
 	}
 }
 
-func send(crashes []state.PromptPartCrash, to state.NodeID, out *state.Outbox) {
+func send(crashes []state.TraitCrash, to state.NodeID, out *state.Outbox) {
 	for chunk := range slices.Chunk(crashes, maxCrashesPerMessage) {
-		out.Add(state.SendPeer{To: to, Message: state.Message{PromptPartReport: &state.PromptPartReport{Crashes: chunk}}})
+		out.Add(state.SendPeer{To: to, Message: state.Message{TraitReport: &state.TraitReport{Crashes: chunk}}})
 	}
 }
 
@@ -109,12 +132,16 @@
 // peer whose report led to it, empty for this node.
 func (s *System) logTransitions(from state.NodeID, out *state.Outbox) {
 	for _, t := range s.ledger.Transitions() {
-		part := slog.String("part", fmt.Sprintf("%x", uint64(t.Part)))
+		name, begun, ended := "part", event.PromptPartQuarantined, event.PromptPartReleased
+		if t.Trait.Kind == state.RequestTrait {
+			name, begun, ended = "fingerprint", event.RequestQuarantined, event.RequestReleased
+		}
+		trait := slog.String(name, t.Trait.String())
 		if t.Quarantined {
 			s.managed.QuarantineVersion++
-			out.Log(event.PromptPartQuarantined, part, slog.Int("targets", t.Targets), slog.String("from", string(from)))
+			out.Log(begun, trait, slog.Int("targets", t.Targets), slog.String("from", string(from)))
 			continue
 		}
-		out.Log(event.PromptPartReleased, part, slog.Bool("reviewed", t.Reviewed), slog.String("from", string(from)))
+		out.Log(ended, trait, slog.Bool("reviewed", t.Reviewed), slog.String("from", string(from)))
 	}
 }
--- a/pkg/core/quarantine/quarantine_test.go
+++ b/pkg/core/quarantine/quarantine_test.go
@@ -20,6 +20,8 @@
 	// reports counts the messages with evidence.
 	reports  int
 	requests int
+	// route is that of the requests.
+	route *state.Route
 }
 
 type fleetNode struct {
@@ -115,7 +117,7 @@
 }
 
 func (f *fleet) deliver(from int, message state.SendPeer) {
-	if message.Message.PromptPartReport == nil {
+	if message.Message.TraitReport == nil {
 		return
 	}
 	f.reports++
@@ -127,12 +129,12 @@
 }
 
 // attempt feeds an event of an attempt that a node has sent to a target.
-func (f *fleet) attempt(node, target int, ev state.AttemptEvent, parts ...state.PromptPartID) {
+func (f *fleet) attempt(node, target int, ev state.AttemptEvent, parts ...state.Trait) {
 	f.requests++
 	id := state.RequestID(fmt.Sprint(f.requests))
 	f.nodes[node].tables.Requests.Put(id, &state.Request{
 		Arrival: state.RequestArrived{ID: id}, Phase: state.RequestSent, Attempt: 1, SentAt: f.now - time.Millisecond,
-		Target: state.TargetID(process(target).Host), TargetStartID: 1, PromptParts: parts,
+		Target: state.TargetID(process(target).Host), TargetStartID: 1, Traits: parts, Route: f.route,
 	})
 	ev.Request, ev.Attempt = id, 1
 	f.step(node, ev)
@@ -145,7 +147,7 @@
 
 func (f *fleet) expectQuarantined(g *gomega.WithT, quarantined bool) {
 	for i, n := range f.nodes {
-		if _, ok := n.tables.Managed.QuarantinedParts[faulty]; !n.down {
+		if _, ok := n.tables.Managed.Quarantined[faulty]; !n.down {
 			g.Expect(ok).To(gomega.Equal(quarantined), "node %d", i)
 		}
 	}
@@ -241,12 +243,12 @@
 		// An event of an earlier attempt.
 		f.requests++
 		id := state.RequestID(fmt.Sprint(f.requests))
-		f.nodes[0].tables.Requests.Put(id, &state.Request{Attempt: 2, Target: state.TargetID(process(i).Host), PromptParts: parts(faulty)})
+		f.nodes[0].tables.Requests.Put(id, &state.Request{Attempt: 2, Target: state.TargetID(process(i).Host), Traits: parts(faulty)})
 		late := crashed
 		late.Request, late.Attempt = id, 1
 		f.step(0, late)
 	}
-	g.Expect(f.nodes[0].systems[1].(*System).ledger.parts).To(gomega.BeEmpty())
+	g.Expect(f.nodes[0].systems[1].(*System).ledger.records).To(gomega.BeEmpty())
 	for i := range minCrashes {
 		f.attempt(0, i, crashed, faulty)
 	}
@@ -264,10 +266,49 @@
 	f := newFleet(2)
 	f.stop(1)
 	for i := range 3 * maxCrashesAtLinkUp {
-		f.attempt(0, i, crashed, state.PromptPartID(i%100))
+		f.attempt(0, i, crashed, part(i%100))
 	}
 	f.reports = 0
 	f.restart(1)
 	g.Expect(f.reports).To(gomega.BeNumerically(">=", maxCrashesAtLinkUp/maxCrashesPerMessage))
 	g.Expect(f.reports).To(gomega.BeNumerically("<=", 4*maxCrashesAtLinkUp/maxCrashesPerMessage))
 }
+
+// TestRequestThatEndsPlainReplicasReachesAllNodes guards against evidence on a request that
+// is missed because the replicas of a plain service send no head before they end, that a
+// server error does not clear, or that stays at one node.
+func TestRequestThatEndsPlainReplicasReachesAllNodes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFleet(4)
+	f.route = &state.Route{}
+	lost := state.AttemptEvent{Stage: state.AttemptEnded, Failure: state.FailureConnectionLost}
+	faultyRequest, sound := request(1), request(2)
+	quarantined := func(trait state.Trait) (nodes int) {
+		for _, n := range f.nodes {
+			if _, ok := n.tables.Managed.Quarantined[trait]; ok {
+				nodes++
+			}
+		}
+		return nodes
+	}
+	for i := range minCrashes {
+		g.Expect(quarantined(faultyRequest)).To(gomega.BeZero())
+		f.attempt(i, i, lost, faultyRequest)
+		f.attempt(3-i, i, lost, sound)
+		f.attempt(3-i, 9, state.AttemptEvent{Stage: state.AttemptEnded, Failure: state.FailureTargetError, AnswerBuffered: true, Status: 500}, sound)
+	}
+	g.Expect(quarantined(faultyRequest)).To(gomega.Equal(4))
+	g.Expect(quarantined(sound)).To(gomega.BeZero())
+	g.Expect(f.nodes[3].events).To(gomega.ContainElement(event.RequestQuarantined))
+	f.stop(3)
+	f.restart(3)
+	g.Expect(quarantined(faultyRequest)).To(gomega.Equal(4), "a node that has just started")
+	// A garbled answer or one that is broken off is no end of its target for a stream
+	// without a head.
+	f.route = &state.Route{Stream: true}
+	for i := range 2 * minCrashes {
+		f.attempt(0, 20+i, lost, request(3))
+		f.attempt(0, 20+i, state.AttemptEvent{Stage: state.AttemptEnded, Failure: state.FailureConnectionLost, Status: 200, InvalidAnswer: true}, request(3))
+	}
+	g.Expect(quarantined(request(3))).To(gomega.BeZero())
+}
--- a/pkg/core/quarantine/recent.go
+++ b/pkg/core/quarantine/recent.go
@@ -9,35 +9,35 @@
 const (
 	// startMemory is how long a start is remembered at least; at most twice as long.
 	startMemory = 30 * time.Second
-	// maxRecentParts bounds each of the two generations of recentParts.
-	maxRecentParts = 4096
+	// maxRecentTraits bounds each of the two generations of recentTraits.
+	maxRecentTraits = 4096
 )
 
-// recentParts is the set of parts that have started in the last time. It forgets them
+// recentTraits is the set of traits that have started in the last time. It forgets them
 // by generations, so that an addition costs one write of a map.
-type recentParts struct {
-	current, previous map[state.PromptPartID]bool
+type recentTraits struct {
+	current, previous map[state.Trait]bool
 	since             time.Duration
 }
 
-func (r *recentParts) add(now time.Duration, part state.PromptPartID) {
+func (r *recentTraits) add(now time.Duration, trait state.Trait) {
 	r.rotate(now)
-	if len(r.current) >= maxRecentParts && !r.current[part] {
-		r.previous, r.current, r.since = r.current, map[state.PromptPartID]bool{}, now
+	if len(r.current) >= maxRecentTraits && !r.current[trait] {
+		r.previous, r.current, r.since = r.current, map[state.Trait]bool{}, now
 	}
-	r.current[part] = true
+	r.current[trait] = true
 }
 
-func (r *recentParts) has(now time.Duration, part state.PromptPartID) bool {
+func (r *recentTraits) has(now time.Duration, trait state.Trait) bool {
 	r.rotate(now)
-	return r.current[part] || r.previous[part]
+	return r.current[trait] || r.previous[trait]
 }
 
-func (r *recentParts) rotate(now time.Duration) {
+func (r *recentTraits) rotate(now time.Duration) {
 	switch age := now - r.since; {
 	case r.current == nil || age >= 2*startMemory:
-		r.previous, r.current, r.since = nil, map[state.PromptPartID]bool{}, now
+		r.previous, r.current, r.since = nil, map[state.Trait]bool{}, now
 	case age >= startMemory:
-		r.previous, r.current, r.since = r.current, map[state.PromptPartID]bool{}, now
+		r.previous, r.current, r.since = r.current, map[state.Trait]bool{}, now
 	}
 }
--- a/pkg/core/quarantine/replay_test.go
+++ b/pkg/core/quarantine/replay_test.go
@@ -14,27 +14,27 @@
 
 // rule decides at each node which requests are refused.
 type rule interface {
-	crash(node int, p Process, parts []state.PromptPartID)
-	start(node int, p Process, sentAt time.Duration, parts []state.PromptPartID)
-	refuses(node int, parts []state.PromptPartID) bool
+	crash(node int, p Process, parts []state.Trait)
+	start(node int, p Process, sentAt time.Duration, parts []state.Trait)
+	refuses(node int, parts []state.Trait) bool
 }
 
 // noRule runs all requests.
 type noRule struct{}
 
-func (noRule) crash(int, Process, []state.PromptPartID)                {}
-func (noRule) start(int, Process, time.Duration, []state.PromptPartID) {}
-func (noRule) refuses(int, []state.PromptPartID) bool                  { return false }
+func (noRule) crash(int, Process, []state.Trait)                {}
+func (noRule) start(int, Process, time.Duration, []state.Trait) {}
+func (noRule) refuses(int, []state.Trait) bool                  { return false }
 
 // firstCrashRule refuses all parts of each request that crashed at any node, or only the
 // first ones.
 type firstCrashRule struct {
 	noRule
-	quarantined   map[state.PromptPartID]bool
+	quarantined   map[state.Trait]bool
 	onlyFirstPart bool
 }
 
-func (r firstCrashRule) crash(_ int, _ Process, parts []state.PromptPartID) {
+func (r firstCrashRule) crash(_ int, _ Process, parts []state.Trait) {
 	if r.onlyFirstPart {
 		parts = parts[:1]
 	}
@@ -43,8 +43,8 @@
 	}
 }
 
-func (r firstCrashRule) refuses(_ int, parts []state.PromptPartID) bool {
-	return slices.ContainsFunc(parts, func(part state.PromptPartID) bool { return r.quarantined[part] })
+func (r firstCrashRule) refuses(_ int, parts []state.Trait) bool {
+	return slices.ContainsFunc(parts, func(trait state.Trait) bool { return r.quarantined[trait] })
 }
 
 // ledgerRule is the rule under test: each node has a ledger, and what one learns reaches
@@ -62,7 +62,7 @@
 	return r
 }
 
-func (r *ledgerRule) spread(from int, news []state.PromptPartCrash) {
+func (r *ledgerRule) spread(from int, news []state.TraitCrash) {
 	for i, l := range r.ledgers {
 		if i != from {
 			r.replay.after(messageTime, func() { l.Merge(r.replay.now, news) })
@@ -70,28 +70,33 @@
 	}
 }
 
-func (r *ledgerRule) crash(node int, p Process, parts []state.PromptPartID) {
+func (r *ledgerRule) crash(node int, p Process, parts []state.Trait) {
 	r.spread(node, r.ledgers[node].Crash(r.replay.now, p, parts))
 }
 
-func (r *ledgerRule) start(node int, p Process, sentAt time.Duration, parts []state.PromptPartID) {
+func (r *ledgerRule) start(node int, p Process, sentAt time.Duration, parts []state.Trait) {
 	r.spread(node, r.ledgers[node].Start(r.replay.now, p, sentAt, parts))
 }
 
-func (r *ledgerRule) refuses(node int, parts []state.PromptPartID) bool {
+func (r *ledgerRule) refuses(node int, parts []state.Trait) bool {
 	return slices.ContainsFunc(parts, r.ledgers[node].isQuarantined)
 }
 
 // replay runs a load over targets that end when they begin to answer a request with the
 // part at fault, or by themselves.
 type replay struct {
-	rule   rule
-	rnd    *rand.Rand
-	now    time.Duration
-	events replayEvents
-	seq    int
-	alive  []bool
-	starts []int64
+	rule rule
+	// targets is the number of targets.
+	targets int
+	// headless is set for targets whose answers have no head before they are complete, so
+	// that all their open requests look alike when they end.
+	headless bool
+	rnd      *rand.Rand
+	now      time.Duration
+	events   replayEvents
+	seq      int
+	alive    []bool
+	starts   []int64
 	// open holds the requests at each target that have no event yet.
 	open [][]*replayRequest
 
@@ -100,7 +105,7 @@
 
 type replayRequest struct {
 	node   int
-	parts  []state.PromptPartID
+	parts  []state.Trait
 	target int
 	sentAt time.Duration
 	begun  bool
@@ -136,8 +141,8 @@
 	firstEventTime = 60 * time.Millisecond
 )
 
-func newReplay(seed uint64) *replay {
-	p := &replay{rule: noRule{}, rnd: rand.New(rand.NewPCG(seed, 3)), alive: make([]bool, replayTargets), starts: make([]int64, replayTargets), open: make([][]*replayRequest, replayTargets)}
+func newReplay(seed uint64, targets int) *replay {
+	p := &replay{rule: noRule{}, targets: targets, rnd: rand.New(rand.NewPCG(seed, 3)), alive: make([]bool, targets), starts: make([]int64, targets), open: make([][]*replayRequest, targets)}
 	for i := range p.alive {
 		p.alive[i] = true
 	}
@@ -169,7 +174,7 @@
 // sendSound sends a request of one of five first parts, one of 40 common second parts and
 // a third part that only about four requests share.
 func (p *replay) sendSound() {
-	parts := parts(state.PromptPartID(1+p.rnd.IntN(5)), state.PromptPartID(100+p.rnd.IntN(40)), state.PromptPartID(1000+int(p.now/(40*time.Millisecond))))
+	parts := parts(part(1+p.rnd.IntN(5)), part(100+p.rnd.IntN(40)), part(1000+int(p.now/(40*time.Millisecond))))
 	node := p.rnd.IntN(replayNodes)
 	if p.rule.refuses(node, parts) {
 		p.soundRefused++
@@ -180,7 +185,7 @@
 }
 
 func (p *replay) sendFaulty() {
-	parts := parts(state.PromptPartID(1+p.rnd.IntN(5)), faulty, state.PromptPartID(100+p.rnd.IntN(40)))
+	parts := parts(part(1+p.rnd.IntN(5)), faulty, part(100+p.rnd.IntN(40)))
 	if node := p.rnd.IntN(replayNodes); !p.rule.refuses(node, parts) {
 		p.place(&replayRequest{node: node, parts: parts}, true, 2)
 	}
@@ -192,7 +197,7 @@
 	if isFaulty {
 		p.faultySent++
 	}
-	i := p.rnd.IntN(replayTargets)
+	i := p.rnd.IntN(p.targets)
 	if !p.alive[i] {
 		return
 	}
@@ -235,7 +240,7 @@
 	p.ends++
 	p.alive[i] = false
 	for _, req := range p.open[i] {
-		if req.begun && !req.ended {
+		if (req.begun || p.headless) && !req.ended {
 			p.rule.crash(req.node, Process{process(i).Host, p.starts[i]}, req.parts)
 		}
 		req.ended = true
@@ -251,7 +256,7 @@
 	g := gomega.NewWithT(t)
 	for seed := range uint64(5) {
 		run := func(newRule func(p *replay) rule) *replay {
-			p := newReplay(seed)
+			p := newReplay(seed, replayTargets)
 			p.rule = newRule(p)
 			p.every(10*time.Millisecond, p.sendSound)
 			p.after(10*time.Second, func() { p.every(200*time.Millisecond, p.sendFaulty) })
@@ -259,9 +264,9 @@
 			return p
 		}
 		off := run(func(*replay) rule { return noRule{} })
-		firstCrash := run(func(*replay) rule { return firstCrashRule{quarantined: map[state.PromptPartID]bool{}} })
+		firstCrash := run(func(*replay) rule { return firstCrashRule{quarantined: map[state.Trait]bool{}} })
 		firstPart := run(func(*replay) rule {
-			return firstCrashRule{quarantined: map[state.PromptPartID]bool{}, onlyFirstPart: true}
+			return firstCrashRule{quarantined: map[state.Trait]bool{}, onlyFirstPart: true}
 		})
 		ledger := run(func(p *replay) rule { return newLedgerRule(p) })
 		for i, p := range []*replay{off, firstCrash, firstPart, ledger} {
@@ -283,11 +288,11 @@
 func TestReplayOfRandomEnds(t *testing.T) {
 	g := gomega.NewWithT(t)
 	for seed := range uint64(10) {
-		p := newReplay(seed)
+		p := newReplay(seed, replayTargets)
 		rule := newLedgerRule(p)
 		p.rule = rule
 		p.every(10*time.Millisecond, p.sendSound)
-		p.every(500*time.Millisecond, func() { p.end(p.rnd.IntN(replayTargets)) })
+		p.every(500*time.Millisecond, func() { p.end(p.rnd.IntN(p.targets)) })
 		p.every(10*time.Second, func() {
 			for i := range replayTargets {
 				p.end(i)
@@ -307,3 +312,58 @@
 		g.Expect(p.soundRefused).To(gomega.BeZero())
 	}
 }
+
+// request returns the trait of a whole request.
+func request(id int) state.Trait { return state.Trait{Kind: state.RequestTrait, ID: uint64(id)} }
+
+// TestReplayOfRequestAtFault replays a plain service with three replicas. One request ends
+// each replica that runs it, with all requests there, and comes again at any node. Three
+// of ten sound requests are one of five that callers send all the time. The test guards
+// against replicas that go on ending, and against a rule that refuses sound requests.
+func TestReplayOfRequestAtFault(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const faultyID = 1 << 40
+	refusedAtFirstCrash := 0
+	for seed := range uint64(5) {
+		run := func(newRule func(p *replay) rule) *replay {
+			p := newReplay(seed, 3)
+			p.headless, p.rule = true, newRule(p)
+			unique := 1000
+			p.every(50*time.Millisecond, func() {
+				unique++
+				traits := parts(request(unique))
+				if p.rnd.IntN(10) < 3 {
+					traits = parts(request(p.rnd.IntN(5)))
+				}
+				node := p.rnd.IntN(replayNodes)
+				if p.rule.refuses(node, traits) {
+					p.soundRefused++
+					return
+				}
+				p.soundSent++
+				p.place(&replayRequest{node: node, parts: traits}, false, 2)
+			})
+			p.after(10*time.Second, func() {
+				p.every(500*time.Millisecond, func() {
+					if node := p.rnd.IntN(replayNodes); !p.rule.refuses(node, parts(request(faultyID))) {
+						p.place(&replayRequest{node: node, parts: parts(request(faultyID))}, true, 2)
+					}
+				})
+			})
+			p.run()
+			return p
+		}
+		off := run(func(*replay) rule { return noRule{} })
+		firstCrash := run(func(*replay) rule { return firstCrashRule{quarantined: map[state.Trait]bool{}} })
+		ledger := run(func(p *replay) rule { return newLedgerRule(p) })
+		for i, p := range []*replay{off, firstCrash, ledger} {
+			t.Logf("seed %d, %s: %d replicas ended, the request sent %d times, %d of %d sound requests refused",
+				seed, []string{"off", "first crash", "ledger"}[i], p.ends, p.faultySent, p.soundRefused, p.soundSent+p.soundRefused)
+		}
+		g.Expect(off.ends).To(gomega.BeNumerically(">", 15))
+		g.Expect(ledger.ends).To(gomega.BeNumerically("<=", 2*minCrashes))
+		g.Expect(ledger.soundRefused).To(gomega.BeZero())
+		refusedAtFirstCrash += firstCrash.soundRefused
+	}
+	g.Expect(refusedAtFirstCrash).To(gomega.BeNumerically(">", 50))
+}
--- a/pkg/core/state/input.go
+++ b/pkg/core/state/input.go
@@ -252,7 +252,13 @@
 // lost after the head of an answer and before the first event. Other requests at a
 // target that ends wait there without a head, or have events and began before.
 func (ev AttemptEvent) LostBeforeFirstEvent() bool {
-	return ev.Stage == AttemptEnded && ev.Failure == FailureConnectionLost && ev.Status == statusOK && ev.EventCount == 0 && !ev.InvalidAnswer
+	return ev.LostBeforeAnswer() && ev.Status == statusOK
+}
+
+// LostBeforeAnswer reports whether the attempt ended because its connection was lost after
+// the request was sent and before any event or a complete answer.
+func (ev AttemptEvent) LostBeforeAnswer() bool {
+	return ev.Stage == AttemptEnded && ev.Failure == FailureConnectionLost && ev.EventCount == 0 && !ev.InvalidAnswer
 }
 
 // TargetNotice reports what a target has said of itself in the header of any answer
--- a/pkg/core/state/managedstate.go
+++ b/pkg/core/state/managedstate.go
@@ -38,10 +38,10 @@
 	// Hubs is the set of nodes that relay messages to all nodes, nil if all nodes are
 	// linked with each other. Written by the inventory system.
 	Hubs map[NodeID]bool
-	// QuarantinedParts holds the prompt parts whose requests are not run, with the time
-	// at which the quarantine is reviewed. Written by the quarantine system.
-	QuarantinedParts map[PromptPartID]time.Duration
-	// QuarantineVersion counts the parts that were put into quarantine. Written by the
+	// Quarantined holds the traits whose requests are not run, with the time at which the
+	// quarantine is reviewed. Written by the quarantine system.
+	Quarantined map[Trait]time.Duration
+	// QuarantineVersion counts the traits that were put into quarantine. Written by the
 	// quarantine system.
 	QuarantineVersion uint64
 	// Lease is the row of the formation lease. Written by the inventory system.
@@ -98,7 +98,7 @@
 func NewManagedState() *ManagedState {
 	m := &ManagedState{
 		Evacuated: map[DataCentre]bool{}, Instances: NewTable[HostID, Instance](), Departures: map[HostID]Departure{},
-		PausedTargets: map[HostID]TargetPause{}, TargetLimits: map[HostID]TargetLimit{}, LinkedPeers: map[NodeID]bool{}, QuarantinedParts: map[PromptPartID]time.Duration{},
+		PausedTargets: map[HostID]TargetPause{}, TargetLimits: map[HostID]TargetLimit{}, LinkedPeers: map[NodeID]bool{}, Quarantined: map[Trait]time.Duration{},
 		Nodes: NewTable[NodeID, RegisteredNode](), StalledTargets: map[HostID]time.Duration{},
 		PeerStalledTargets: map[HostID]time.Duration{}, GloballyStalledTargets: map[HostID]time.Duration{}, Loads: map[HostID]*TargetLoad{},
 		PeerLoads: map[NodeID][]TargetLoad{}, PeerStatusAt: map[NodeID]time.Duration{},
--- a/pkg/core/state/message.go
+++ b/pkg/core/state/message.go
@@ -28,8 +28,9 @@
 	History        *History        `cbor:"18,keyasint,omitempty"`
 	Departure      *Departure      `cbor:"19,keyasint,omitempty"`
 
-	PromptPartReport  *PromptPartReport  `cbor:"20,keyasint,omitempty"`
+	// Key 20 belonged to reports on prompt parts alone, which had another form.
 	TargetLimitReport *TargetLimitReport `cbor:"21,keyasint,omitempty"`
+	TraitReport       *TraitReport       `cbor:"22,keyasint,omitempty"`
 }
 
 // LeaseHandover transfers the formation lease to a peer during an outage of the
--- a/pkg/core/state/row.go
+++ b/pkg/core/state/row.go
@@ -382,9 +382,9 @@
 	Account AccountID
 	// Service is the service that a routed request goes to.
 	Service string
-	// PromptParts holds the shared parts of the prompt of a routed request that goes
-	// to an engine.
-	PromptParts []PromptPartID
+	// Traits holds what a routed request may have in common with others that end their
+	// targets.
+	Traits []Trait
 }
 
 // ClaimPhase is the phase of a claim.
--- /dev/null
+++ b/pkg/core/state/trait.go
@@ -0,0 +1,76 @@
+package state
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+)
+
+// TraitKind is the kind of a Trait.
+type TraitKind uint8
+
+// Kinds of traits.
+const (
+	// PromptPartTrait is a part of the prompt that requests share.
+	PromptPartTrait TraitKind = iota
+	// RequestTrait is the whole request, which its repetitions share.
+	RequestTrait
+	TraitKinds
+)
+
+// Trait is what requests have in common by which they may end the targets that run them.
+type Trait struct {
+	Kind TraitKind `cbor:"1,keyasint,omitempty"`
+	ID   uint64    `cbor:"2,keyasint"`
+}
+
+// String returns the ID in hexadecimal.
+func (t Trait) String() string { return strconv.FormatUint(t.ID, 16) }
+
+// CompareTraits orders traits by kind and ID.
+func CompareTraits(a, b Trait) int {
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.ID, b.ID))
+}
+
+// Traits returns the traits of a request, of which prompt parts count only at an engine.
+func (r *RoutedRequest) Traits(atEngine bool) []Trait {
+	var traits []Trait
+	if atEngine {
+		for _, part := range r.PromptParts {
+			traits = append(traits, Trait{PromptPartTrait, uint64(part)})
+		}
+	}
+	if r.Fingerprint != 0 {
+		traits = append(traits, Trait{RequestTrait, uint64(r.Fingerprint)})
+	}
+	return traits
+}
+
+// TraitCrash is the evidence that a process ended when it began to answer a request with
+// a trait. Nodes exchange this evidence. All that saw the end of the process report the
+// same crash. Cleared is set for good once the trait or the process has turned out to be
+// sound, so that neither the order nor the repetition of reports matters.
+type TraitCrash struct {
+	Trait   Trait  `cbor:"1,keyasint"`
+	Host    HostID `cbor:"2,keyasint"`
+	StartID int64  `cbor:"3,keyasint,omitempty"`
+	Cleared bool   `cbor:"4,keyasint,omitempty"`
+}
+
+// TraitReport spreads crashes to all nodes.
+type TraitReport struct {
+	Crashes []TraitCrash `cbor:"1,keyasint"`
+}
+
+// RelayTargets returns the linked peers to which a node sends a message that all nodes
+// must receive, in ascending order. from is the peer from which the message came, or
+// empty if it is the node's own. Only hubs pass on what they receive.
+func (m *ManagedState) RelayTargets(self, from NodeID) []NodeID {
+	if from != "" && !m.Hubs[self] {
+		return nil
+	}
+	return slices.DeleteFunc(SortedKeys(m.LinkedPeers), func(id NodeID) bool {
+		// A message from a hub has been sent to all hubs.
+		return id == from || from != "" && m.Hubs[id] && m.Hubs[from]
+	})
+}
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -100,6 +100,8 @@
 
 	PromptPartQuarantined ID = 1310
 	PromptPartReleased    ID = 1311
+	RequestQuarantined    ID = 1312
+	RequestReleased       ID = 1313
 )
 
 // Events of the process: 1400 to 1499.
@@ -208,6 +210,8 @@
 	{FallbackResumed, Info, "silent target sends again; its stream continues there"},
 	{PromptPartQuarantined, Warn, "part of prompts put into quarantine"},
 	{PromptPartReleased, Info, "part of prompts released from quarantine"},
+	{RequestQuarantined, Warn, "request put into quarantine"},
+	{RequestReleased, Info, "request released from quarantine"},
 	{NodeStarted, Info, "node started"},
 	{NodeReady, Info, "node ready"},
 	{NodeDraining, Info, "graceful shutdown started"},
--- a/pkg/metric/managed.go
+++ b/pkg/metric/managed.go
@@ -11,18 +11,19 @@
 
 // managedMetrics counts the events of a managed node, whose platform holds the
 // configuration: host orders, host reports, table calls, refusal codes and group
-// changes. It also holds the numbers of prompt parts in quarantine and of targets that
-// name a limit.
+// changes. It also holds the numbers of prompt parts and requests in quarantine and of
+// targets that name a limit.
 type managedMetrics struct {
-	set              *metrics.Set
-	quarantinedParts *metrics.Gauge
-	limitedTargets   *metrics.Gauge
+	set                 *metrics.Set
+	quarantinedParts    *metrics.Gauge
+	quarantinedRequests *metrics.Gauge
+	limitedTargets      *metrics.Gauge
 }
 
 func newManagedMetrics(set *metrics.Set) *managedMetrics {
 	return &managedMetrics{
 		set: set, quarantinedParts: set.NewGauge("apricotgrade_quarantined_prompt_parts", nil),
-		limitedTargets: set.NewGauge("apricotgrade_limited_targets", nil),
+		quarantinedRequests: set.NewGauge("apricotgrade_quarantined_requests", nil), limitedTargets: set.NewGauge("apricotgrade_limited_targets", nil),
 	}
 }
 
@@ -52,6 +53,10 @@
 			m.quarantinedParts.Inc()
 		case event.PromptPartReleased:
 			m.quarantinedParts.Dec()
+		case event.RequestQuarantined:
+			m.quarantinedRequests.Inc()
+		case event.RequestReleased:
+			m.quarantinedRequests.Dec()
 		case event.TargetLimitNamed:
 			m.limitedTargets.Inc()
 		case event.TargetLimitEnded:
--- a/pkg/peer/frame_test.go
+++ b/pkg/peer/frame_test.go
@@ -28,11 +28,11 @@
 	}
 }
 
-// TestPromptPartReportSurvivesFrame guards against evidence that peers read differently
-// from what was sent, as a part with all 64 bits or a clear that arrives as a crash.
-func TestPromptPartReportSurvivesFrame(t *testing.T) {
-	sent := state.Message{PromptPartReport: &state.PromptPartReport{Crashes: []state.PromptPartCrash{
-		{Part: 1<<64 - 1, Host: "i-1", StartID: 1_764_856_000_123}, {Part: 0xfa, Host: "i-2", StartID: -1, Cleared: true}, {},
+// TestTraitReportSurvivesFrame guards against evidence that peers read differently
+// from what was sent, as a trait with all 64 bits or a clear that arrives as a crash.
+func TestTraitReportSurvivesFrame(t *testing.T) {
+	sent := state.Message{TraitReport: &state.TraitReport{Crashes: []state.TraitCrash{
+		{Trait: state.Trait{Kind: state.RequestTrait, ID: 1<<64 - 1}, Host: "i-1", StartID: 1_764_856_000_123}, {Trait: state.Trait{ID: 0xfa}, Host: "i-2", StartID: -1, Cleared: true}, {},
 	}}}
 	frame, err := encodeMessage(sent)
 	if err != nil {
@@ -43,6 +43,6 @@
 		t.Fatal(err)
 	}
 	if !reflect.DeepEqual(sent, received) {
-		t.Errorf("sent %+v, received %+v", sent.PromptPartReport, received.PromptPartReport)
+		t.Errorf("sent %+v, received %+v", sent.TraitReport, received.TraitReport)
 	}
 }
--- a/pkg/peer/fuzz_test.go
+++ b/pkg/peer/fuzz_test.go
@@ -31,11 +31,11 @@
 	addFrame(f, state.Message{TableRequest: &state.TableRequest{Table: 200}})
 	addFrame(f, state.Message{PeerStatus: &state.PeerStatus{TableRevisions: make([]uint64, 9), Loads: []state.TargetLoad{{Running: -9}}, ClusterTotals: true}})
 	addFrame(f, state.Message{History: &state.History{Loaded: true, PlatformConfig: &state.PlatformConfig{}, Departures: []state.Departure{{}, {Host: "i", Gone: true}}}})
-	var crashes []state.PromptPartCrash
+	var crashes []state.TraitCrash
 	for i := range 300 {
-		crashes = append(crashes, state.PromptPartCrash{Part: state.PromptPartID(i / 20), StartID: int64(i), Cleared: i%7 == 0})
+		crashes = append(crashes, state.TraitCrash{Trait: state.Trait{Kind: state.TraitKind(i % 2), ID: uint64(i / 20)}, StartID: int64(i), Cleared: i%7 == 0})
 	}
-	addFrame(f, state.Message{PromptPartReport: &state.PromptPartReport{Crashes: crashes}})
+	addFrame(f, state.Message{TraitReport: &state.TraitReport{Crashes: crashes}})
 	f.Fuzz(func(_ *testing.T, frame []byte) {
 		m, err := decodeMessage(frame)
 		if err != nil {
