Keep quarantines when all nodes end at the same moment

Cause: the evidence was in the memory of the nodes.

The holder of the formation lease writes a row for each quarantine into this system's table, which each node reads before it is ready, and deletes it when the evidence has turned out to be wrong. Removing the row releases the trait, which operators could not do before. Evidence of a kind that a node does not know is ignored.

--- a/pkg/core/inventory/inventory.go
+++ b/pkg/core/inventory/inventory.go
@@ -208,6 +208,25 @@
 		if l := &s.managed.Lease; row.Revision > l.Revision {
 			*l = state.FormationLease{Row: *row.Lease, Revision: row.Revision, RenewalSeenAt: now}
 		}
+	case row.Quarantine != nil:
+		s.setQuarantineRow(row.Key, row.Quarantine, row.Revision)
+	}
+}
+
+func (s *System) setQuarantineRow(key string, row *state.QuarantineRow, revision uint64) {
+	if key != state.QuarantineKey(row.Trait) || s.managed.QuarantineRows[key].Revision >= revision {
+		return
+	}
+	updated := *row
+	updated.Revision = revision
+	s.managed.QuarantineRows[key] = updated
+	s.managed.QuarantineRowsVersion++
+}
+
+func (s *System) deleteQuarantineRow(key string) {
+	if _, ok := s.managed.QuarantineRows[key]; ok {
+		delete(s.managed.QuarantineRows, key)
+		s.managed.QuarantineRowsVersion++
 	}
 }
 
@@ -277,6 +296,14 @@
 				s.managed.Nodes.Delete(id)
 			}
 		}
+		for _, key := range state.SortedKeys(s.managed.QuarantineRows) {
+			if row := s.managed.QuarantineRows[key]; !present[key] {
+				// Only the removal of a row releases its trait. A snapshot may come from a
+				// node that does not know such rows.
+				row.Revision = 0
+				s.managed.QuarantineRows[key] = row
+			}
+		}
 		s.setPeers(out)
 	}
 }
@@ -299,6 +326,9 @@
 			s.restoration.heldNodes.Cancel(state.NodeID(id))
 			s.managed.Nodes.Delete(state.NodeID(id))
 		}
+		if s.managed.QuarantineRows[key].Revision <= revision {
+			s.deleteQuarantineRow(key)
+		}
 	}
 }
 
--- a/pkg/core/inventory/peers.go
+++ b/pkg/core/inventory/peers.go
@@ -325,6 +325,11 @@
 		for id, row := range s.managed.Nodes.All() {
 			result.Rows = append(result.Rows, state.RowUpdate{Key: state.PrefixNode + string(id), Revision: row.Revision, Node: row})
 		}
+		for _, key := range state.SortedKeys(s.managed.QuarantineRows) {
+			if row := s.managed.QuarantineRows[key]; row.Revision > 0 {
+				result.Rows = append(result.Rows, state.RowUpdate{Key: key, Revision: row.Revision, Quarantine: &row})
+			}
+		}
 		if lease := &s.managed.Lease; lease.Revision > 0 {
 			result.Rows = append(result.Rows, state.RowUpdate{Key: state.KeyFormationLease, Revision: lease.Revision, Lease: &lease.Row})
 		}
--- a/pkg/core/quarantine/ledger.go
+++ b/pkg/core/quarantine/ledger.go
@@ -116,6 +116,10 @@
 }
 
 func (l *Ledger) merge(now time.Duration, crash state.TraitCrash) bool {
+	if crash.Trait.Kind >= state.TraitKinds {
+		// A later release may know more kinds.
+		return false
+	}
 	process := Process{crash.Host, crash.StartID}
 	record := l.records[crash.Trait]
 	if record == nil {
@@ -186,6 +190,11 @@
 	return clears
 }
 
+// Release clears all crashes of a trait. It returns what peers do not know.
+func (l *Ledger) Release(now time.Duration, trait state.Trait) []state.TraitCrash {
+	return l.clear(now, trait, func(Process) bool { return true })
+}
+
 // judge begins or ends the quarantine of a trait. isNew is set if a crash has just
 // become known.
 func (l *Ledger) judge(now time.Duration, trait state.Trait, isNew bool) {
@@ -279,6 +288,21 @@
 // belongs to the ledger.
 func (l *Ledger) Quarantined() map[state.Trait]time.Duration { return l.quarantined }
 
+// CrashesOf returns the crashes of a trait that are not cleared.
+func (l *Ledger) CrashesOf(trait state.Trait) []state.TraitCrash {
+	record := l.records[trait]
+	if record == nil {
+		return nil
+	}
+	var crashes []state.TraitCrash
+	for _, c := range record.crashes {
+		if !c.cleared {
+			crashes = append(crashes, state.TraitCrash{Trait: trait, Host: c.process.Host, StartID: c.process.StartID})
+		}
+	}
+	return crashes
+}
+
 // Crashes returns at most limit crashes and clears: those of traits in quarantine first,
 // then those of the traits with most crashes.
 func (l *Ledger) Crashes(limit int) []state.TraitCrash {
--- a/pkg/core/quarantine/quarantine.go
+++ b/pkg/core/quarantine/quarantine.go
@@ -28,11 +28,12 @@
 	tables  *state.Tables
 	managed *state.ManagedState
 	ledger  *Ledger
+	rows    rowKeeper
 }
 
 // New returns the quarantine system.
 func New(t *state.Tables) *System {
-	s := &System{tables: t, managed: t.Managed, ledger: NewLedger()}
+	s := &System{tables: t, managed: t.Managed, ledger: NewLedger(), rows: rowKeeper{known: map[string]state.Trait{}}}
 	s.managed.Quarantined = s.ledger.Quarantined()
 	return s
 }
@@ -40,6 +41,7 @@
 // Step implements state.System.
 func (s *System) Step(now time.Duration, in state.Input, out *state.Outbox) {
 	from := state.NodeID("")
+	s.readRows(now, out)
 	switch in := in.(type) {
 	case state.RequestArrived:
 		if in.Routed != nil && len(s.managed.Quarantined) > 0 {
@@ -58,6 +60,7 @@
 		}
 	case state.Tick:
 		s.ledger.Tick(now)
+		s.writeRows(now, out)
 	}
 	s.logTransitions(from, out)
 }
--- a/pkg/core/quarantine/quarantine_test.go
+++ b/pkg/core/quarantine/quarantine_test.go
@@ -20,6 +20,8 @@
 	// reports counts the messages with evidence.
 	reports  int
 	requests int
+	// transactions holds those of the current tick.
+	transactions []state.Transaction
 	// route is that of the requests.
 	route *state.Route
 }
@@ -58,12 +60,15 @@
 	return &fleetNode{tables: tables, systems: []state.System{inventory.New(tables), New(tables)}, peers: map[state.NodeID]bool{}}
 }
 
-func (f *fleet) learnNodes(i int) {
+func (f *fleet) learnNodes(i int) { f.learnNodesAt(i, 100) }
+
+// learnNodesAt feeds a snapshot of the table of the nodes to a node.
+func (f *fleet) learnNodesAt(i int, revision uint64) {
 	var rows []state.RowUpdate
 	for j := range f.nodes {
 		rows = append(rows, state.RowUpdate{Key: state.PrefixNode + string(nodeID(j)), Revision: uint64(j + 1), Node: &state.RegisteredNode{Entry: nodeEntry(j), Revision: uint64(j + 1)}})
 	}
-	f.step(i, state.TableUpdate{Table: state.NodeTable, Snapshot: true, Revision: 100, Rows: rows, SentAt: f.now})
+	f.step(i, state.TableUpdate{Table: state.NodeTable, Snapshot: true, Revision: revision, Rows: rows, SentAt: f.now})
 }
 
 // link brings up all links that one of its ends has requested and whose ends run.
@@ -112,6 +117,10 @@
 			n.events = append(n.events, o.Event)
 		case state.SendPeer:
 			f.deliver(i, o)
+		case state.StoreRequest:
+			if o.Transact != nil {
+				f.transactions = append(f.transactions, *o.Transact)
+			}
 		}
 	}
 }
--- a/pkg/core/state/instance.go
+++ b/pkg/core/state/instance.go
@@ -80,8 +80,9 @@
 const (
 	// PrefixEvacuated is the key prefix of data centres that receive no new work.
 	PrefixEvacuated = "evacuated/"
-	// PrefixNode and KeyFormationLease are keys in NodeTable.
+	// PrefixNode, PrefixQuarantine and KeyFormationLease are keys in NodeTable.
 	PrefixNode         = "node/"
+	PrefixQuarantine   = "quarantine/"
 	KeyFormationLease  = "lease/formation"
 	FormationLeaseName = DataCentre("formation")
 )
--- a/pkg/core/state/managedstate.go
+++ b/pkg/core/state/managedstate.go
@@ -41,6 +41,10 @@
 	// Quarantined holds the traits whose requests are not run, with the time at which the
 	// quarantine is reviewed. Written by the quarantine system.
 	Quarantined map[Trait]time.Duration
+	// QuarantineRows holds the rows of traits in quarantine by key. QuarantineRowsVersion
+	// counts their changes. Written by the inventory system.
+	QuarantineRows        map[string]QuarantineRow
+	QuarantineRowsVersion uint64
 	// QuarantineVersion counts the traits that were put into quarantine. Written by the
 	// quarantine system.
 	QuarantineVersion uint64
@@ -98,7 +102,7 @@
 func NewManagedState() *ManagedState {
 	m := &ManagedState{
 		Evacuated: map[DataCentre]bool{}, Instances: NewTable[HostID, Instance](), Departures: map[HostID]Departure{},
-		PausedTargets: map[HostID]TargetPause{}, TargetLimits: map[HostID]TargetLimit{}, LinkedPeers: map[NodeID]bool{}, Quarantined: map[Trait]time.Duration{},
+		PausedTargets: map[HostID]TargetPause{}, TargetLimits: map[HostID]TargetLimit{}, LinkedPeers: map[NodeID]bool{}, Quarantined: map[Trait]time.Duration{}, QuarantineRows: map[string]QuarantineRow{},
 		Nodes: NewTable[NodeID, RegisteredNode](), StalledTargets: map[HostID]time.Duration{},
 		PeerStalledTargets: map[HostID]time.Duration{}, GloballyStalledTargets: map[HostID]time.Duration{}, Loads: map[HostID]*TargetLoad{},
 		PeerLoads: map[NodeID][]TargetLoad{}, PeerStatusAt: map[NodeID]time.Duration{},
--- a/pkg/core/state/peerstatus.go
+++ b/pkg/core/state/peerstatus.go
@@ -45,6 +45,7 @@
 	Instance       *Instance       `cbor:"6,keyasint,omitempty"`
 	Node           *RegisteredNode `cbor:"7,keyasint,omitempty"`
 	Lease          *LeaseRow       `cbor:"8,keyasint,omitempty"`
+	Quarantine     *QuarantineRow  `cbor:"9,keyasint,omitempty"`
 }
 
 // PeerStatus is the status message that managed nodes exchange every
--- a/pkg/core/state/trait.go
+++ b/pkg/core/state/trait.go
@@ -57,6 +57,20 @@
 	Cleared bool   `cbor:"4,keyasint,omitempty"`
 }
 
+// QuarantineRow is a row of NodeTable that keeps the evidence on a trait in quarantine, so
+// that it outlives the memory of all nodes.
+type QuarantineRow struct {
+	Trait   Trait        `cbor:"1,keyasint"`
+	Crashes []TraitCrash `cbor:"2,keyasint"`
+	// Revision is the revision of the row.
+	Revision uint64 `cbor:"-"`
+}
+
+// QuarantineKey returns the key of the row of a trait.
+func QuarantineKey(t Trait) string {
+	return PrefixQuarantine + strconv.Itoa(int(t.Kind)) + "-" + t.String()
+}
+
 // TraitReport spreads crashes to all nodes.
 type TraitReport struct {
 	Crashes []TraitCrash `cbor:"1,keyasint"`
