Apply no row of a restored store while the store fails

A node applied the rows of the copy 2 s after its return, although the hosts could not have written theirs, and over what the hosts had reported meanwhile. It then ordered a host of an open group into another one.

Held rows now wait until the hosts have had 2 s since the last failure of the store, and are dropped if the host has reported other state in the new era. TestRowOfCopyIsNotAppliedWhileTheStoreFails failed before.

--- a/pkg/core/inventory/era.go
+++ b/pkg/core/inventory/era.go
@@ -99,12 +99,30 @@
 		a.Membership == b.Membership && a.LoadedModel == b.LoadedModel && slices.Equal(a.StagedModels, b.StagedModels)
 }
 
-// releaseHeld applies what was held back for long enough, and relays it.
+// returnTimeEnd returns when instances have had entryReturnTime to write their rows again
+// since the store last failed.
+func (s *System) returnTimeEnd(now time.Duration) time.Duration {
+	if now < s.managed.StoreOutageUntil {
+		return now + entryReturnTime
+	}
+	return s.managed.Tables[state.InstanceTable].FailedAt + entryReturnTime
+}
+
+// releaseHeld applies what was held back for long enough, and relays it. A row of the copy
+// is dropped if the host has reported other state since the store came back.
 func (s *System) releaseHeld(now time.Duration, out *state.Outbox) {
 	var rows []state.RowUpdate
+	returnTimeEnd := s.returnTimeEnd(now)
 	for id, ok := s.restoration.dueRows.Pop(now); ok; id, ok = s.restoration.dueRows.Pop(now) {
 		row := s.restoration.heldRows[id]
+		if now < returnTimeEnd {
+			s.restoration.dueRows.Schedule(id, returnTimeEnd)
+			continue
+		}
 		delete(s.restoration.heldRows, id)
+		if known := s.managed.Instances.Get(id); known != nil && known.StartID >= row.StartID && known.ReportedAt > s.managed.EraSince {
+			continue
+		}
 		s.putInstance(now, row)
 		// The row may be older than the restoration, so no order is based on it alone.
 		row.RevisionSeenAt = s.managed.StoreRecoveredAt
--- a/pkg/core/inventory/era_test.go
+++ b/pkg/core/inventory/era_test.go
@@ -98,6 +98,46 @@
 	g.Expect(r.managed.Instances.Get("i2").RevisionSeenAt).To(gomega.Equal(r.managed.StoreRecoveredAt))
 }
 
+// TestRowOfCopyIsNotAppliedWhileTheStoreFails guards against acting on the membership that
+// a host had when the copy was made, because the store failed again before the host could
+// write its row, or although the host has reported its membership meanwhile.
+func TestRowOfCopyIsNotAppliedWhileTheStoreFails(t *testing.T) {
+	restored := func() *rig {
+		r := newRig("n00", 1)
+		r.feedChanges(state.InstanceTable, 140, processRow("i1", 1, 139, inGroup(7, state.MemberOpen)))
+		r.feedTable(state.InstanceTable, eraRevision(110), processRow("i1", 1, eraRevision(50), inGroup(3, state.MemberOpen)))
+		r.advance(entryReturnTime / 2)
+		r.failStore()
+		return r
+	}
+	epoch := func(r *rig) uint64 { return r.managed.Instances.Get("i1").Membership.Epoch }
+
+	g := gomega.NewWithT(t)
+	r := restored()
+	for range 8 {
+		r.advance(entryReturnTime / 2)
+		r.failStore()
+	}
+	g.Expect(epoch(r)).To(gomega.Equal(uint64(7)), "the store fails")
+	r.feedChanges(state.InstanceTable, eraRevision(112), processRow("i2", 1, eraRevision(112), nil))
+	r.advance(entryReturnTime - 2*state.TickPeriod)
+	g.Expect(epoch(r)).To(gomega.Equal(uint64(7)), "the host has not had the time to write")
+	r.advance(4 * state.TickPeriod)
+	g.Expect(epoch(r)).To(gomega.Equal(uint64(3)))
+
+	r = restored()
+	r.advance(maxStoreReplyAge)
+	r.failStore()
+	r.advance(state.TickPeriod)
+	r.step(state.HostReport{Host: "i1", OK: true, SentAt: r.now, State: state.HostState{
+		Host: "i1", StartID: 1, Membership: state.Membership{Group: "g", Epoch: 8, Phase: state.MemberReady},
+	}})
+	g.Expect(epoch(r)).To(gomega.Equal(uint64(8)))
+	r.feedChanges(state.InstanceTable, eraRevision(112), processRow("i2", 1, eraRevision(112), nil))
+	r.advance(2 * entryReturnTime)
+	g.Expect(epoch(r)).To(gomega.Equal(uint64(8)), "the host has reported it")
+}
+
 // TestInstanceThatLeftStaysAway guards against using an instance again whose row came
 // back with a copy of the store.
 func TestInstanceThatLeftStaysAway(t *testing.T) {
