Answer the connections in the accept queue before a stop closes the listener

Callers saw requests on new connections end with a reset during a planned stop. The kernel resets the connections that wait there; the node had read none of these requests.

The listener now ignores new connection requests by a socket filter, waits for the handshakes that have begun, and is closed once its accept queue is empty. Multipath TCP is off, since its sockets take no filter. Where the filter is not to be had, the listener is closed in a moment at which the queue is empty.

--- a/pkg/gateway/server.go
+++ b/pkg/gateway/server.go
@@ -22,6 +22,13 @@
 	// the last exchange, so that a request in transit is still served.
 	shutdownQuietPeriod  = time.Second
 	shutdownPollInterval = 20 * time.Millisecond
+	// handshakeTime is how long a handshake that has begun may take to complete after the
+	// listener refuses new ones.
+	handshakeTime = 250 * time.Millisecond
+	// maxAcceptDrainTime bounds the wait for an empty accept queue, and
+	// acceptQueuePollInterval is the interval of the checks.
+	maxAcceptDrainTime      = time.Second
+	acceptQueuePollInterval = time.Millisecond
 )
 
 // Server serves callers and shuts down without aborting an exchange.
@@ -31,11 +38,21 @@
 	mu         sync.Mutex
 	listener   net.Listener
 	stopped    bool
+	stopOnce   sync.Once
 	connStates map[net.Conn]http.ConnState
 	// lastStateChange is the time of the last state change of any connection.
 	lastStateChange time.Time
 }
 
+// Listen listens for callers. Multipath TCP is off, since its sockets take no filter, which
+// StopAccepting needs.
+func Listen(address string) (net.Listener, error) {
+	var config net.ListenConfig
+	config.SetMultipathTCP(false)
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	return listener, errors.Wrap(err, "listen for callers")
+}
+
 // NewServer returns a server that calls handler for each request.
 func NewServer(handler http.Handler) *Server {
 	s := &Server{connStates: map[net.Conn]http.ConnState{}}
@@ -76,9 +93,36 @@
 	return errors.Wrap(err, "serve callers")
 }
 
-// StopAccepting closes the listener. Open connections stay open, including idle
-// ones, because closing them could abort a request in transit.
+// StopAccepting closes the listener once the connections that callers have established are
+// accepted. Open connections stay open, including idle ones, because closing them could
+// abort a request in transit.
 func (s *Server) StopAccepting() {
+	s.stopOnce.Do(func() {
+		s.mu.Lock()
+		listener, isTCP := s.listener.(*net.TCPListener)
+		s.mu.Unlock()
+		if isTCP {
+			drainAcceptQueue(listener)
+		}
+		s.closeListener()
+	})
+}
+
+// drainAcceptQueue waits until all established connections are accepted. The kernel resets
+// those that still wait when their listener is closed, with the requests on them. Where
+// new connections cannot be refused, the queue is empty only for a moment.
+func drainAcceptQueue(l *net.TCPListener) {
+	if refuseNewConnections(l) == nil {
+		time.Sleep(handshakeTime)
+	}
+	for deadline := time.Now().Add(maxAcceptDrainTime); time.Now().Before(deadline); time.Sleep(acceptQueuePollInterval) {
+		if length, err := acceptQueueLength(l); err != nil || length == 0 {
+			return
+		}
+	}
+}
+
+func (s *Server) closeListener() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stopped = true
@@ -124,6 +168,6 @@
 
 // Close closes all connections and aborts their exchanges.
 func (s *Server) Close() error {
-	s.StopAccepting()
+	s.closeListener()
 	return errors.Wrap(s.http.Close(), "close connections")
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -183,7 +183,7 @@
 		if spec.address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", spec.address)
+		listener, err := gateway.Listen(spec.address)
 		if err != nil {
 			l.close()
 			return l, errors.Wrapf(err, "cannot listen on the address in setting %s, choose a free one", spec.setting)
