--- a/pkg/core/dispatch/ratebound.go
+++ b/pkg/core/dispatch/ratebound.go
@@ -36,7 +36,7 @@
 
 // senders returns how many nodes may send to the target. If all of them send their first
 // request at the same moment, these are no more than burst. At least one node may send.
-func (b rateBound) senders(nodes int) int { return max(min(nodes, int(b.burst)), 1) }
+func (b rateBound) senders(nodes int) int { return max(int(min(float64(nodes), b.burst)), 1) }
 
 // rateShare is the part of a rateBound that one node may use.
 //
--- a/pkg/core/dispatch/ratebound_test.go
+++ b/pkg/core/dispatch/ratebound_test.go
@@ -104,6 +104,15 @@
 	}
 }
 
+// TestVeryHighLimitIsNoBound guards against a limit beyond the range of an integer that only
+// one node may use.
+func TestVeryHighLimitIsNoBound(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, rate := range []float64{100, 1e18, 1e300} {
+		g.Expect(newRateBound(rate, limitBurstTime).senders(6)).To(gomega.Equal(6), "rate %v", rate)
+	}
+}
+
 // TestTargetAtItsLimitHidesNoOther guards against requests that wait although a target is
 // free, because targets at their limit have the fewest requests and seem to be the best.
 func TestTargetAtItsLimitHidesNoOther(t *testing.T) {
