--- a/pkg/core/dispatch/place.go
+++ b/pkg/core/dispatch/place.go
@@ -128,7 +128,8 @@
 
 // isEligible reports whether a target may get a request now. A target that peers
 // report as stalled is eligible only while a stream of this node delivers events
-// there.
+// there. A target whose share is used up is not, since it has few requests and would
+// hide the other targets by its low cost.
 func (s *System) isEligible(now time.Duration, t *target, active *activeRequest) bool {
 	if !t.usable || t.suspect || now < t.avoidUntil || now < t.fullUntil || s.managed.IsPaused(now, t.id, t.startID) {
 		return false
