Recognise a request that its account repeats with another key

Found by TestSoakWithCrashingRequest: six repetitions of a crashing request reached replicas later than 3 s after the third end. The fingerprint held the key of the caller, and the soak rotates keys: with each new key the request was another one, and ended three more targets.

The trait of a whole request now holds the client account instead, which is known when the request is admitted. Its arrivals are therefore recorded by the dispatch system.

--- a/pkg/core/dispatch/attempt.go
+++ b/pkg/core/dispatch/attempt.go
@@ -4,7 +4,6 @@
 	"log/slog"
 	"maps"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/apricotgrade/apricotgrade/pkg/apierror"
@@ -276,7 +275,7 @@
 func (s *System) logAttemptFailure(now time.Duration, req *state.Request, t *target, ev state.AttemptEvent, out *state.Outbox) {
 	out.Log(event.AttemptFailed, appendParts([]slog.Attr{
 		slog.String("request", req.Arrival.Routed.AttemptID), slog.Int("attempt", ev.Attempt),
-		slog.String("fingerprint", strconv.FormatUint(uint64(req.Arrival.Routed.Fingerprint), 16)),
+		slog.String("fingerprint", fingerprint(req)),
 		slog.String("target", string(t.id)), slog.String("group", string(t.group)), slog.String("failure", failureNames[ev.Failure]),
 		slog.String("outcome", string(ev.Outcome)), slog.Int("status", ev.Status), slog.Int("events", ev.EventCount),
 		slog.Duration("age", now-req.ArrivedAt), slog.String("at_fault", string(ev.FaultyHost)),
--- a/pkg/core/dispatch/dispatch.go
+++ b/pkg/core/dispatch/dispatch.go
@@ -45,7 +45,7 @@
 
 // System is the dispatch system. It reads Managed and Config. It writes the rows
 // of Requests, the counters StaleEvents, Retries and BudgetRefusals, and in
-// Managed Loads, StalledTargets, Demand and TrafficStarted.
+// Managed Loads, StalledTargets, Demand, TrafficStarted and QuarantinedArrivals.
 type System struct {
 	tables  *state.Tables
 	managed *state.ManagedState
--- a/pkg/core/dispatch/partattr.go
+++ b/pkg/core/dispatch/partattr.go
@@ -7,6 +7,16 @@
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 )
 
+// fingerprint returns the number that the repetitions of a request have in common.
+func fingerprint(req *state.Request) string {
+	for _, trait := range req.Traits {
+		if trait.Kind == state.RequestTrait {
+			return trait.String()
+		}
+	}
+	return ""
+}
+
 // appendParts adds the shared parts of the prompt to the attributes of a failed attempt
 // whose connection was lost after the head of its answer and before its first event.
 func appendParts(attrs []slog.Attr, routed *state.RoutedRequest, ev state.AttemptEvent) []slog.Attr {
--- a/pkg/core/dispatch/quarantine.go
+++ b/pkg/core/dispatch/quarantine.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -11,13 +12,28 @@
 // checkTraits sets the traits by which a request is judged, and returns an error if one
 // of them is in quarantine.
 func (s *System) checkTraits(now time.Duration, req *state.Request) *apierror.Error {
-	req.Traits = req.Arrival.Routed.Traits(s.index.services[req.Service].Engine != nil)
+	req.Traits = req.Arrival.Routed.Traits(req.Account, s.index.services[req.Service].Engine != nil)
 	if !s.isQuarantined(req) {
 		return nil
 	}
+	s.recordQuarantinedArrival(now, req)
 	return s.quarantineRefusal(now, req)
 }
 
+// recordQuarantinedArrival records the arrival of a request, which defers the review of its
+// traits.
+func (s *System) recordQuarantinedArrival(now time.Duration, req *state.Request) {
+	maps.DeleteFunc(s.managed.QuarantinedArrivals, func(trait state.Trait, _ time.Duration) bool {
+		_, quarantined := s.managed.Quarantined[trait]
+		return !quarantined
+	})
+	for _, trait := range req.Traits {
+		if _, quarantined := s.managed.Quarantined[trait]; quarantined {
+			s.managed.QuarantinedArrivals[trait] = now
+		}
+	}
+}
+
 // isQuarantined reports whether a trait of a request is in quarantine.
 //
 // A request that was lost with the beginning of its answer is repeated as long as none
--- a/pkg/core/quarantine/ledger.go
+++ b/pkg/core/quarantine/ledger.go
@@ -243,10 +243,10 @@
 }
 
 // Arrive records the arrival of a request and defers the review of its traits.
-func (l *Ledger) Arrive(now time.Duration, traits []state.Trait) {
+func (l *Ledger) Arrive(now time.Duration, traits ...state.Trait) {
 	for _, trait := range traits {
 		if _, quarantined := l.quarantined[trait]; quarantined {
-			l.quarantined[trait] = now + reviewTime
+			l.quarantined[trait] = max(l.quarantined[trait], now+reviewTime)
 		}
 	}
 }
--- a/pkg/core/quarantine/ledger_test.go
+++ b/pkg/core/quarantine/ledger_test.go
@@ -171,7 +171,7 @@
 		l.Crash(time.Second, process(i), parts(faulty))
 	}
 	l.Tick(9 * time.Minute)
-	l.Arrive(9*time.Minute, parts(first, faulty))
+	l.Arrive(9*time.Minute, first, faulty)
 	l.Tick(9*time.Minute + reviewTime - time.Second)
 	g.Expect(l.Quarantined()).To(gomega.HaveLen(1))
 	l.Transitions()
--- a/pkg/core/quarantine/quarantine.go
+++ b/pkg/core/quarantine/quarantine.go
@@ -43,10 +43,6 @@
 	from := state.NodeID("")
 	s.readRows(now, out)
 	switch in := in.(type) {
-	case state.RequestArrived:
-		if in.Routed != nil && len(s.managed.Quarantined) > 0 {
-			s.ledger.Arrive(now, in.Routed.Traits(true))
-		}
 	case state.AttemptEvent:
 		s.handleAttemptEvent(now, in, out)
 	case state.PeerMessage:
@@ -59,6 +55,9 @@
 			send(s.ledger.Crashes(maxCrashesAtLinkUp), in.Peer, out)
 		}
 	case state.Tick:
+		for trait, at := range s.managed.QuarantinedArrivals {
+			s.ledger.Arrive(at, trait)
+		}
 		s.ledger.Tick(now)
 		s.writeRows(now, out)
 	}
--- a/pkg/core/state/trait.go
+++ b/pkg/core/state/trait.go
@@ -32,8 +32,9 @@
 	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.ID, b.ID))
 }
 
-// Traits returns the traits of a request, of which prompt parts count only at an engine.
-func (r *RoutedRequest) Traits(atEngine bool) []Trait {
+// Traits returns the traits of a request of a client account, of which prompt parts count
+// only at an engine.
+func (r *RoutedRequest) Traits(account AccountID, atEngine bool) []Trait {
 	var traits []Trait
 	if atEngine {
 		for _, part := range r.PromptParts {
@@ -41,7 +42,7 @@
 		}
 	}
 	if r.Fingerprint != 0 {
-		traits = append(traits, Trait{RequestTrait, uint64(r.Fingerprint)})
+		traits = append(traits, Trait{RequestTrait, r.Fingerprint.of(account)})
 	}
 	return traits
 }
