Open a group only after its members have joined under the current lease

Cause: a lease holder adopted a group that it found ready and opened it without an order to the members. A join of a later group that a member had not answered could still take effect, since nothing that the member had accepted since made it refuse: its order count, fencing token and epoch all allowed it. A plan does not have this fault, because each member accepts a join of its own first.

Looked for elsewhere: plans, declared installations, restarts of hosts; not found.

--- a/pkg/core/formation/formation.go
+++ b/pkg/core/formation/formation.go
@@ -173,7 +173,8 @@
 }
 
 // advancePlan takes the next step of a plan: all members join, all report
-// ready, the leader opens.
+// ready, the leader opens. A member that has joined can no longer carry out an
+// order from before, because its order count and its epoch have increased.
 func (s *System) advancePlan(now time.Duration, p *plan, out *state.Outbox) {
 	if now-p.startedAt > p.expectedTime+joinSlack {
 		s.abandonPlan(now, p, "timeout", out)
--- a/pkg/core/formation/group.go
+++ b/pkg/core/formation/group.go
@@ -191,8 +191,9 @@
 	return state.MemberOpen, false
 }
 
-// maintainGroup retires an open group that is defective and adopts a ready
-// group of an earlier lease holder.
+// maintainGroup retires an open group that is defective and ends a ready group
+// that this node does not form. Such a group must not be opened: its members may
+// still carry out joins of other groups, which an earlier lease holder has sent.
 func (s *System) maintainGroup(now time.Duration, g *group, out *state.Outbox) {
 	if s.plans[g.id] != nil {
 		return
@@ -205,10 +206,7 @@
 	switch phase {
 	case state.MemberOpen, state.MemberClosing:
 	case state.MemberReady:
-		if !g.opened && !g.retiring {
-			s.adoptGroup(now, g, out)
-		}
-		if s.plans[g.id] == nil && s.mayOpenLate(g) && now-g.firstSeenAt > adoptionTimeout {
+		if s.mayOpenLate(g) {
 			s.sendOrder(now, leader, state.HostOrder{Operation: state.HostLeave, Group: g.id, Epoch: g.epoch}, out)
 		}
 		fallthrough
@@ -278,10 +276,6 @@
 	return "", false
 }
 
-// adoptionTimeout is how long this node tries to adopt a group that is ready
-// but not open. After that it orders the leader to leave.
-const adoptionTimeout = 300 * time.Millisecond
-
 // wasNeverOpened reports whether this node abandoned the group before it sent
 // the open order.
 func (s *System) wasNeverOpened(g *group) bool {
--- a/pkg/core/formation/retire.go
+++ b/pkg/core/formation/retire.go
@@ -1,12 +1,9 @@
 package formation
 
 import (
-	"log/slog"
-	"slices"
 	"time"
 
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
-	"github.com/apricotgrade/apricotgrade/pkg/event"
 )
 
 // retireGroup orders the leader of a group to close, so that its members may
@@ -46,32 +43,3 @@
 		s.sendOrder(now, h, state.HostOrder{Operation: state.HostLeave, Group: g.id, Epoch: g.epoch}, out)
 	}
 }
-
-// adoptGroup continues with a group that an earlier lease holder left ready but
-// not open.
-func (s *System) adoptGroup(now time.Duration, g *group, out *state.Outbox) {
-	engine := s.engineProfile(g.service)
-	if engine == nil {
-		return
-	}
-	model := engine.Model(g.model)
-	if model == nil || len(g.members) != model.GroupSize {
-		return
-	}
-	for _, id := range g.members {
-		h := s.hosts[id]
-		if h == nil || h.row == nil || h.plan != nil || h.dead || h.row.Draining ||
-			h.row.Membership.Group != g.id || h.row.Membership.Epoch != g.epoch || h.row.Membership.Phase != state.MemberReady {
-			return
-		}
-	}
-	p := &plan{
-		openOrdered: true, id: g.id, epoch: g.epoch, service: g.service, model: model, members: slices.Clone(g.members),
-		joinAccepted: map[state.HostID]bool{}, startedAt: now, expectedTime: engine.GroupOpenTime,
-	}
-	for _, id := range p.members {
-		p.joinAccepted[id], s.hosts[id].plan = true, p
-	}
-	s.plans[p.id] = p
-	out.Log(event.GroupJoining, slog.String("group", string(p.id)), slog.String("reason", "adopted from an earlier lease holder"))
-}
