--- a/pkg/core/formation/group.go
+++ b/pkg/core/formation/group.go
@@ -323,15 +323,6 @@
 	return len(g.members)
 }
 
-func (s *System) engineProfile(service string) *state.EngineProfile {
-	for i := range s.managed.PlatformConfig.Services {
-		if s.managed.PlatformConfig.Services[i].Name == service {
-			return s.managed.PlatformConfig.Services[i].Engine
-		}
-	}
-	return nil
-}
-
 // stagingProbePeriod is the interval between probes of a host that stages a
 // model during a store outage. A load takes 12 s or more.
 const stagingProbePeriod = time.Second
