Require a key whenever the configuration has client accounts

Cause: the key was checked only if the configuration named any key, so that a configuration without keys was taken for one without accounts. An empty list of accounts had the same effect. The check now follows from whether the configuration has a list of accounts. Operators of managed nodes and declared installations were looked at and are closed without keys.

--- a/pkg/core/dispatch/dispatch.go
+++ b/pkg/core/dispatch/dispatch.go
@@ -160,7 +160,7 @@
 		return apierror.New(apierror.KindNotFound, "unknown_route", "no route matches this host name and path; check both", apierror.NotRun)
 	}
 	req.Route = route
-	if !route.AllowAnonymous && len(s.index.accountsByKeyHash) > 0 {
+	if !route.AllowAnonymous && s.managed.PlatformConfig.RequiresKey() {
 		account := s.index.accountsByKeyHash[routed.KeyHash]
 		if !routed.HasKey || account == nil {
 			return apierror.New(apierror.KindAuth, "invalid_api_key", "the API key is not valid; send a valid key as Authorization: Bearer", apierror.NotRun)
--- a/pkg/core/state/platformconfig.go
+++ b/pkg/core/state/platformconfig.go
@@ -9,8 +9,15 @@
 	Services []ServiceProfile `cbor:"3,keyasint,omitempty"`
 	Accounts []ManagedAccount `cbor:"4,keyasint,omitempty"`
 	Limits   CallerLimits     `cbor:"5,keyasint"`
+	// HasAccounts is set if the configuration has a list of accounts, even an empty one.
+	HasAccounts bool `cbor:"6,keyasint,omitempty"`
 }
 
+// RequiresKey reports whether requests need a valid key, except on anonymous routes. That
+// depends on the accounts and not on their keys: without any key nobody is served. Peers of
+// an earlier release do not send HasAccounts.
+func (c *PlatformConfig) RequiresKey() bool { return c.HasAccounts || len(c.Accounts) > 0 }
+
 // CallerLimits bounds the requests and connections of callers.
 type CallerLimits struct {
 	MaxHeaderBytes int           `cbor:"1,keyasint,omitempty"`
