Ignore entries and epochs of other writers that are out of range

One odd entry in the list of replicas could stop the forming of groups for good: a lease holder took the fencing token above the epoch that the entry named, and epochs above the largest ones exceed their type, so that hosts refuse all joins. An entry that named a higher epoch of an existing group stopped its repair.

Cause: entries were checked for types and not for ranges, and tokens follow any number that a host names. Deep nesting and unreadable bytes did no harm.

--- a/pkg/core/formation/group.go
+++ b/pkg/core/formation/group.go
@@ -136,7 +136,7 @@
 
 func (s *System) observeMember(now time.Duration, instance *state.Instance) {
 	membership := instance.Membership
-	if membership.Group == "" {
+	if membership.Group == "" || !s.isPlausible(membership.Epoch) {
 		return
 	}
 	g := s.groups[membership.Group]
--- a/pkg/core/formation/lease.go
+++ b/pkg/core/formation/lease.go
@@ -66,9 +66,16 @@
 // tokens of earlier ones, also of those whose rows the store has lost.
 const eraTokenBits = 16
 
+// isPlausible reports whether an epoch that a host reports can have been issued: its token
+// is below those of the next era. The entry of another writer may name any number, and the
+// tokens and epochs above the highest one would not fit their types.
+func (s *System) isPlausible(epoch uint64) bool {
+	return state.FencingToken(epoch>>epochBits) < max(state.FencingToken(s.managed.StoreEra+1)<<eraTokenBits, 2*s.lease.highestToken)
+}
+
 // nextToken returns a fencing token for an acquisition in the current era. It is
-// higher than each one that this node has seen in the lease, in an order or in the
-// epoch of a group.
+// higher than each one that this node has seen in the lease, in an order or in a
+// plausible epoch of a group.
 func (s *System) nextToken() state.FencingToken {
 	highest := s.lease.highestToken
 	for _, h := range s.hosts {
@@ -76,7 +83,9 @@
 		if h.row != nil {
 			epoch = max(epoch, h.row.Membership.Epoch)
 		}
-		highest = max(highest, state.FencingToken(epoch>>epochBits))
+		if s.isPlausible(epoch) {
+			highest = max(highest, state.FencingToken(epoch>>epochBits))
+		}
 	}
 	return max(highest+1, state.FencingToken(s.managed.StoreEra)<<eraTokenBits)
 }
