Send a path that begins with two slashes unchanged

Cause: the path was sent as the opaque part of a URL, which the HTTP client writes with the scheme in front if it begins with two slashes. It is now sent as a path, and one that cannot be sent unchanged is refused with 400.

--- a/pkg/gateway/routedgateway.go
+++ b/pkg/gateway/routedgateway.go
@@ -125,6 +125,11 @@
 		g.writeRefusal(w, "", invalidRequestError("invalid_header", err.Error(), ""))
 		return
 	}
+	if _, err := targetURL("", r.RequestURI); err != nil {
+		g.writeRefusal(w, routedRequest.AttemptID, invalidRequestError("invalid_path",
+			"the path has characters that cannot be forwarded; encode them with percent signs", "path"))
+		return
+	}
 	held := g.memory.NewReservation()
 	defer held.Release()
 	limit := g.bodyLimit()
@@ -319,6 +324,25 @@
 	}
 }
 
+// targetURL returns the URL of a request that reaches a target with the same path and query
+// as the caller's. It returns an error for a path that cannot be sent unchanged.
+func targetURL(address, requestURI string) (*url.URL, error) {
+	path, query, hasQuery := strings.Cut(requestURI, "?")
+	u := &url.URL{Scheme: "http", Host: address, Opaque: path, RawQuery: query, ForceQuery: hasQuery && query == ""}
+	if strings.HasPrefix(path, "//") {
+		// Such an opaque part would be sent with the scheme in front, as the name of a host.
+		decoded, err := url.PathUnescape(path)
+		if err != nil {
+			return nil, errors.Wrap(err, "decode path")
+		}
+		u.Opaque, u.Path, u.RawPath = "", decoded, path
+	}
+	if sent := u.RequestURI(); sent != requestURI {
+		return nil, errors.Errorf("the path would be sent as %q", sent)
+	}
+	return u, nil
+}
+
 // newRequest builds the request of the attempt with the path and the body of the
 // caller's request unchanged.
 func (a *routedAttempt) newRequest(r *http.Request) (*http.Request, error) {
@@ -331,8 +355,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "build attempt")
 	}
-	path, query, hasQuery := strings.Cut(request.path, "?")
-	req.URL = &url.URL{Scheme: "http", Host: a.start.Address, Opaque: path, RawQuery: query, ForceQuery: hasQuery && query == ""}
+	if req.URL, err = targetURL(a.start.Address, request.path); err != nil {
+		return nil, err
+	}
 	req.Host = r.Host
 	req.Header = request.header.Clone()
 	removeHopByHopHeaders(req.Header)
