--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -109,6 +109,19 @@
 	return body, nil, nil
 }
 
+// readBody reads the body of a request. It answers a request whose body is refused, and
+// reports whether the body was read.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, timeout time.Duration, held *memory.Reservation) (body []byte, ok bool) {
+	body, refusal, err := readBody(w, r, maxBodyBytes, timeout, held)
+	switch {
+	case err != nil:
+		panic(http.ErrAbortHandler)
+	case refusal != nil:
+		refuseUnread(w, r, maxBodyBytes, refusal, func(e *apierror.Error) { writeError(w, e) })
+	}
+	return body, refusal == nil
+}
+
 // refuseUnread writes the refusal of a request whose body could not be read. It discards the
 // rest of the body within the deadline of readBody: if the connection were closed at once,
 // callers that send on would lose the answer. Whatever stays unread must not be taken for
--- a/pkg/gateway/completion.go
+++ b/pkg/gateway/completion.go
@@ -159,12 +159,8 @@
 	}
 	held := g.memory.NewReservation()
 	defer held.Release()
-	body, refusal, err := readBody(w, r, maxBodyBytes, options.timeout, held)
-	switch {
-	case err != nil:
-		panic(http.ErrAbortHandler)
-	case refusal != nil:
-		refuseUnread(w, r, maxBodyBytes, refusal, func(e *apierror.Error) { writeError(w, e) })
+	body, ok := g.readBody(w, r, options.timeout, held)
+	if !ok {
 		return
 	}
 	fields, apiErr := parseCompletion(body)
