Let the memory of unframed answers grow with them

Answers without a length got the buffer of a large request body as soon as they were not small, so that forty of them at a time would have taken the whole budget, and those that had run would have been lost. That step is only needed for bodies, which may be refused.

--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -58,7 +58,7 @@
 		case size > limit:
 			return nil, errTooLong
 		}
-		grown := nextBufferSize(size, limit)
+		grown := nextBufferSize(size, limit, purpose)
 		if !held.Grow(grown, purpose(grown)) {
 			return nil, errMemoryFull
 		}
@@ -68,13 +68,13 @@
 	}
 }
 
-// nextBufferSize returns the size of the buffer that follows one of a size. A body that is not
-// small gets the memory of a large one in one step: if all bodies of a burst grew step by
-// step, none of them might get as far as its end.
-func nextBufferSize(size, limit int64) int64 {
-	next := min(2*size, memory.SmallBodyBytes)
-	if size >= memory.SmallBodyBytes {
-		next = max(2*size, largeBufferBytes)
+// nextBufferSize returns the size of the buffer that follows one of a size. A request body
+// that is not small gets the memory of a large one in one step: if all bodies of a burst grew
+// step by step, none of them might get as far as its end.
+func nextBufferSize(size, limit int64, purpose func(size int64) memory.Purpose) int64 {
+	next := 2 * size
+	if purpose(next) == memory.LargeBody {
+		next = max(next, largeBufferBytes)
 	}
 	if next > limit/2 {
 		return limit + 1
