Show how late the event loop is, and for which inputs

Neither logs nor metrics told a loop that is late from one that decides wrongly. Each second in which an input has waited for 250 ms or more gives one line, event 1411, with the longest wait and step and the kind of input that took most of the time. apricotgrade_core_step_seconds has the kind of input as a label, and apricotgrade_daemon_input_wait_seconds is new.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -56,7 +56,8 @@
 	onWatchTables func(state.WatchTables)
 
 	start            time.Time
-	inputs           chan state.Input
+	inputs           chan queuedInput
+	lateness         lateness
 	views            chan func(*state.Tables)
 	submissions      chan submission
 	exchanges        map[state.RequestID]Exchange
@@ -92,7 +93,7 @@
 	d := &Daemon{
 		node: node, platform: p, targets: targets, links: links, log: log, limiter: newCallLimiter(),
 		start:            time.Now(),
-		inputs:           make(chan state.Input, inputBuffer),
+		inputs:           make(chan queuedInput, inputBuffer),
 		views:            make(chan func(*state.Tables)),
 		submissions:      make(chan submission),
 		operatorRequests: make(chan operatorRequest),
@@ -120,7 +121,7 @@
 // nothing after the loop has ended.
 func (d *Daemon) Feed(in state.Input) {
 	select {
-	case d.inputs <- in:
+	case d.inputs <- queuedInput{in, d.Now()}:
 	case <-d.done:
 	}
 }
@@ -180,12 +181,12 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-			if d.step(ctx, state.Tick{}) {
+		case due := <-ticker.C:
+			if d.stepAfter(ctx, state.Tick{}, time.Since(due)) {
 				return
 			}
 		case in := <-d.inputs:
-			if d.step(ctx, in) {
+			if d.stepAfter(ctx, in.Input, d.Now()-in.queuedAt) {
 				return
 			}
 		case s := <-d.submissions:
@@ -222,6 +223,17 @@
 	return true
 }
 
+// stepAfter is step for an input that has waited for the event loop.
+func (d *Daemon) stepAfter(ctx context.Context, in state.Input, waited time.Duration) (exit bool) {
+	start := d.Now()
+	exit = d.step(ctx, in)
+	d.lateness.record(ctx, d, in, waited, d.Now()-start)
+	if d.observer != nil {
+		d.observer.InputWaited(waited)
+	}
+	return exit
+}
+
 func (d *Daemon) step(ctx context.Context, in state.Input) (exit bool) {
 	for _, out := range d.stepSafely(ctx, in) {
 		if d.execute(ctx, out) {
--- a/pkg/daemon/observer.go
+++ b/pkg/daemon/observer.go
@@ -12,6 +12,8 @@
 	// Step receives the time on the node's clock at the start of the step, the
 	// input, the outputs and the duration of the step.
 	Step(now time.Duration, in state.Input, outputs []state.Output, duration time.Duration)
+	// InputWaited receives how long an input has waited for the event loop.
+	InputWaited(waited time.Duration)
 }
 
 // Observe sets the observer. It must be called before Run.
--- a/pkg/daemon/recovery_test.go
+++ b/pkg/daemon/recovery_test.go
@@ -25,6 +25,7 @@
 type failingCore struct{}
 
 func (failingCore) Step(time.Duration, state.Input, []state.Output, time.Duration) { panic("broken") }
+func (failingCore) InputWaited(time.Duration)                                      {}
 
 // TestUnprocessableInputIsDropped guards against one input that ends the whole process,
 // and against a caller that waits for an answer to it.
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -117,6 +117,7 @@
 	LogLinesDropped     ID = 1408
 	InputDropped        ID = 1409
 	CallFailed          ID = 1410
+	LoopLate            ID = 1411
 )
 
 // Level is the severity of an event.
@@ -223,6 +224,7 @@
 	{LogLinesDropped, Warn, "log lines dropped"},
 	{InputDropped, Error, "input could not be processed and was dropped"},
 	{CallFailed, Error, "call in the background failed"},
+	{LoopLate, Warn, "event loop is late"},
 }
 
 // Find returns the catalogue entry of an event, and false for an unknown ID.
--- a/pkg/metric/metric.go
+++ b/pkg/metric/metric.go
@@ -36,7 +36,7 @@
 // Step records one step of the core: its start time on the node's clock, its
 // input, its outputs and its duration.
 func (r *Recorder) Step(now time.Duration, in state.Input, outputs []state.Output, elapsed time.Duration) {
-	r.core.recordStep(elapsed)
+	r.core.recordStep(in, elapsed)
 	r.requests.recordInput(now, in)
 	r.store.recordInput(now, in)
 	r.managed.recordInput(in)
