--- a/pkg/core/formation/rig_test.go
+++ b/pkg/core/formation/rig_test.go
@@ -103,6 +103,8 @@
 	orderDelay func(state.HostOrder) time.Duration
 	// violations holds the violated invariants of hosts and groups.
 	violations []string
+	// observe, if set, receives the processor time of each step.
+	observe func(in state.Input, elapsed time.Duration)
 }
 
 const (
@@ -112,22 +114,26 @@
 	domainCount = 6
 )
 
-func newRig(t *testing.T) *rig {
+func newRig(t *testing.T) *rig { return newSizedRig(t, domainCount, 8, 4, 2) }
+
+// newSizedRig returns a rig with domains of hostsPerDomain hosts and with models whose groups
+// have largeSize and smallSize members.
+func newSizedRig(t *testing.T, domains, hostsPerDomain, largeSize, smallSize int) *rig {
 	tables := state.NewTables(state.Self{ID: "n1", DataCentre: "a", Incarnation: 1}, state.Switches{}, 1)
 	tables.Managed = state.NewManagedState()
 	r := &rig{t: t, tables: tables, system: New(tables), hosts: map[state.HostID]*fakeHost{}}
 	r.engine = &state.EngineProfile{
 		Slots: 26, StepsPerPass: 5, MaxLoadsPerSecond: 4, MaxConcurrentLoads: 6, MaxStagedModels: 1, GroupOpenTime: 300 * time.Millisecond,
 		Models: []state.ModelProfile{
-			{Name: large, GroupSize: 4, InitialShare: 0.67, TimeFactor: 1, FullLoadTime: 16 * time.Second, StagedLoadTime: 1600 * time.Millisecond},
-			{Name: small, GroupSize: 2, InitialShare: 0.33, TimeFactor: 0.6, FullLoadTime: 12 * time.Second, StagedLoadTime: 1100 * time.Millisecond},
+			{Name: large, GroupSize: largeSize, InitialShare: 0.67, TimeFactor: 1, FullLoadTime: 16 * time.Second, StagedLoadTime: 1600 * time.Millisecond},
+			{Name: small, GroupSize: smallSize, InitialShare: 0.33, TimeFactor: 0.6, FullLoadTime: 12 * time.Second, StagedLoadTime: 1100 * time.Millisecond},
 		},
 	}
 	tables.Managed.PlatformConfig = &state.PlatformConfig{Version: 1, Services: []state.ServiceProfile{{Name: "pool", Engine: r.engine}}}
 	tables.Config.Fresh, tables.Config.Loaded = true, true
 	tables.Managed.WatchesStore = true
-	for d := range domainCount {
-		for i := range 8 {
+	for d := range domains {
+		for i := range hostsPerDomain {
 			r.addHost(state.HostID(fmt.Sprintf("h%d-%d", d, i)), state.DomainID(fmt.Sprintf("d%d", d)))
 		}
 	}
@@ -188,7 +194,11 @@
 			if r.inventory != nil {
 				r.inventory.Step(r.now, in, &state.Outbox{})
 			}
+			start := time.Now()
 			r.system.Step(r.now, in, &out)
+			if r.observe != nil {
+				r.observe(in, time.Since(start))
+			}
 			for _, o := range out.Outputs {
 				r.handleOutput(o)
 			}
