Send nothing on after its caller has left

Cause: a close was known only from the read that the HTTP server starts in the background with the handler, and from there it went through the event loop. A node that is paused or late finds a request and its close at the same time, submits and sends the request, and reads the close afterwards. The disconnect was armed before the request was submitted and travelled through another channel; if the loop took it first, it was dropped for good. Running attempts ended only when the loop came to it.

The gateway now asks the kernel for the state of the caller's socket before it submits a request, before it sends an attempt, and after the connection to the target is established. The disconnect is armed after the submission. The core says with each attempt whether it ends with its caller, so that a close ends it without the event loop. The gateway of declared installations has the same order and the same look.

--- a/pkg/core/dispatch/place.go
+++ b/pkg/core/dispatch/place.go
@@ -184,7 +184,7 @@
 	attempt := state.StartAttempt{
 		Request: req.Arrival.ID, Attempt: req.Attempt, Target: req.Target, Address: t.address, NewConnection: true,
 		Timeout: req.Deadline - now, DecidedAt: now, ExpectedInstance: t.id, StartID: t.startID, Account: req.Account,
-		KeepPrevious: len(active.fallbacks) > 0,
+		KeepPrevious: len(active.fallbacks) > 0, EndsWithCaller: true,
 	}
 	if req.Route.Stream {
 		attempt.StallAfter, attempt.FirstEventStallAfter = stallTimeout, 2*predicted+firstEventSlack
--- a/pkg/core/state/output.go
+++ b/pkg/core/state/output.go
@@ -145,6 +145,9 @@
 	StallAfter time.Duration
 	// FirstEventStallAfter is the corresponding time until the first event.
 	FirstEventStallAfter time.Duration
+	// EndsWithCaller is set if the attempt is not sent, or ends at once, when the caller has
+	// closed its connection.
+	EndsWithCaller bool
 	// KeepPrevious is set if the previous attempt stays open. The attempt that delivers
 	// the next event to the caller continues the answer.
 	KeepPrevious bool
--- a/pkg/gateway/acceptqueue_linux.go
+++ b/pkg/gateway/acceptqueue_linux.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"syscall"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
@@ -44,14 +45,14 @@
 	return length, err
 }
 
-func onSocket(l *net.TCPListener, call func(fd int) error) error {
-	conn, err := l.SyscallConn()
+func onSocket(socket syscall.Conn, call func(fd int) error) error {
+	conn, err := socket.SyscallConn()
 	if err != nil {
-		return errors.Wrap(err, "access the socket of the listener")
+		return errors.Wrap(err, "access the socket")
 	}
 	var callErr error
 	if err := conn.Control(func(fd uintptr) { callErr = call(int(fd)) }); err != nil {
-		return errors.Wrap(err, "access the socket of the listener")
+		return errors.Wrap(err, "access the socket")
 	}
-	return errors.Wrap(callErr, "call on the socket of the listener")
+	return errors.Wrap(callErr, "call on the socket")
 }
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -58,7 +58,7 @@
 
 func (g *Gateway) newAttempt(e *exchange, start state.StartAttempt) *attemptState {
 	a := &attemptState{gateway: g, exchange: e, start: start}
-	a.ctx, a.cancel = e.beginAttempt(start.Attempt)
+	a.ctx, a.cancel = e.beginAttempt(start)
 	a.result = state.AttemptEvent{
 		Request: start.Request, Attempt: start.Attempt, Stage: state.AttemptEnded,
 		Outcome: apierror.Unknown, AnswerStarted: e.answerStarted, Offset: e.offset,
@@ -146,6 +146,12 @@
 	if a.isDecisionExpired() {
 		return nil, false
 	}
+	if a.exchange.hasCallerLeft() {
+		// A generation that has not begun cannot be resumed.
+		a.gateway.daemon.Feed(state.CallerDisconnected{Request: a.start.Request})
+		a.result.Failure, a.result.Outcome = state.FailureCancelled, apierror.NotRun
+		return nil, false
+	}
 	res, err := a.gateway.targets.Do(req, newConnection)
 	if err != nil {
 		a.fail(err)
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -39,9 +40,12 @@
 	starts  chan state.StartAttempt
 	reply   chan state.Reply
 
+	// callerConn is the connection of the caller; nil if it is not known.
+	callerConn net.Conn
+
 	mu sync.Mutex
-	// cancels holds the functions that cancel the running attempts, by their numbers.
-	cancels map[int]context.CancelCauseFunc
+	// running holds the running attempts by their numbers.
+	running map[int]runningAttempt
 	// cancelled holds the attempts that the core has cancelled, which may include
 	// one that has not begun yet.
 	cancelled []int
@@ -58,6 +62,11 @@
 	attemptStarted bool
 }
 
+type runningAttempt struct {
+	cancel         context.CancelCauseFunc
+	endsWithCaller bool
+}
+
 // startQueueSize exceeds the number of attempts that can be waiting: the core starts
 // at most one before it has processed the end of the previous attempt.
 const startQueueSize = 4
@@ -65,7 +74,7 @@
 func newExchange(request *callerRequest) *exchange {
 	return &exchange{
 		request: request, starts: make(chan state.StartAttempt, startQueueSize), reply: make(chan state.Reply, 1),
-		cancels: map[int]context.CancelCauseFunc{},
+		running: map[int]runningAttempt{},
 	}
 }
 
@@ -82,8 +91,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.cancelled = append(e.cancelled, order.Attempt)
-	if cancel := e.cancels[order.Attempt]; cancel != nil {
-		cancel(errCancelled)
+	if attempt, ok := e.running[order.Attempt]; ok {
+		attempt.cancel(errCancelled)
 	}
 }
 
@@ -105,21 +114,34 @@
 func (e *exchange) cancelAttempts() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, cancel := range e.cancels {
-		cancel(errCancelled)
+	for _, attempt := range e.running {
+		attempt.cancel(errCancelled)
+	}
+}
+
+// callerLeft ends the attempts that end with their caller. It does not wait for the event
+// loop, which may be late.
+func (e *exchange) callerLeft() {
+	e.callerDisconnected.Store(true)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, attempt := range e.running {
+		if attempt.endsWithCaller {
+			attempt.cancel(errCancelled)
+		}
 	}
 }
 
 // beginAttempt returns the context of an attempt. The context is already cancelled
-// if the core has cancelled the attempt before it began.
-func (e *exchange) beginAttempt(attempt int) (context.Context, context.CancelCauseFunc) {
+// if the core has cancelled the attempt, or its caller has left, before it began.
+func (e *exchange) beginAttempt(start state.StartAttempt) (context.Context, context.CancelCauseFunc) {
 	// The context does not derive from that of the caller's request: the core decides
 	// whether the attempt continues after the caller has disconnected.
 	ctx, cancel := context.WithCancelCause(context.Background())
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.cancels[attempt] = cancel
-	if slices.Contains(e.cancelled, attempt) {
+	e.running[start.Attempt] = runningAttempt{cancel, start.EndsWithCaller}
+	if slices.Contains(e.cancelled, start.Attempt) || start.EndsWithCaller && e.callerDisconnected.Load() {
 		cancel(errCancelled)
 	}
 	return ctx, cancel
@@ -128,18 +150,23 @@
 func (e *exchange) endAttempt(attempt int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	delete(e.cancels, attempt)
+	delete(e.running, attempt)
 }
 
 // run submits a request to the core and executes its decisions until the reply.
 func (g *Gateway) run(w http.ResponseWriter, r *http.Request, request *callerRequest) {
 	e := newExchange(request)
+	e.callerConn = callerConnOf(r)
+	if e.hasCallerLeft() {
+		return
+	}
+	g.daemon.Submit(request.arrival, e)
+	// The core drops a disconnect that it receives before the request.
 	stop := context.AfterFunc(r.Context(), func() {
-		e.callerDisconnected.Store(true)
+		e.callerLeft()
 		g.daemon.Feed(state.CallerDisconnected{Request: request.arrival.ID})
 	})
 	defer stop()
-	g.daemon.Submit(request.arrival, e)
 	for {
 		select {
 		case start := <-e.starts:
--- a/pkg/gateway/routedattempt.go
+++ b/pkg/gateway/routedattempt.go
@@ -90,7 +90,7 @@
 	if errors.As(err, &failure) {
 		a.result.Failure, a.result.Outcome = failure.Kind, failure.Outcome
 	}
-	if errors.Is(context.Cause(a.ctx), errCancelled) {
+	if errors.Is(context.Cause(a.ctx), errCancelled) || errors.Is(err, target.ErrAbandoned) {
 		a.result.Failure = state.FailureCancelled
 	}
 }
--- a/pkg/gateway/routedgateway.go
+++ b/pkg/gateway/routedgateway.go
@@ -170,13 +170,20 @@
 // run submits a request to the core and executes its decisions until the reply.
 func (g *RoutedGateway) run(w http.ResponseWriter, r *http.Request, e *routedExchange) {
 	id := e.request.arrival.ID
+	defer g.releaseBuffer(e)
+	e.callerConn = callerConnOf(r)
+	if e.hasCallerLeft() {
+		g.meter.RequestAbandoned(abandonedUnsubmitted)
+		panic(http.ErrAbortHandler)
+	}
+	g.daemon.Submit(e.request.arrival, e.exchange)
+	// The core drops a disconnect that it receives before the request.
 	stop := context.AfterFunc(r.Context(), func() {
-		e.callerDisconnected.Store(true)
+		g.meter.RequestAbandoned(abandonedSubmitted)
+		e.callerLeft()
 		g.daemon.Feed(state.CallerDisconnected{Request: id})
 	})
 	defer stop()
-	defer g.releaseBuffer(e)
-	g.daemon.Submit(e.request.arrival, e.exchange)
 	var attempts sync.WaitGroup
 	for {
 		select {
@@ -265,7 +272,7 @@
 
 // runAttempt executes one attempt and returns its last event.
 func (g *RoutedGateway) runAttempt(w http.ResponseWriter, r *http.Request, e *routedExchange, start state.StartAttempt) state.AttemptEvent {
-	ctx, cancel := e.beginAttempt(start.Attempt)
+	ctx, cancel := e.beginAttempt(start)
 	defer e.endAttempt(start.Attempt)
 	defer cancel(nil)
 	a := newRoutedAttempt(ctx, g, e, start)
@@ -277,6 +284,11 @@
 		a.result.Failure, a.result.Outcome = state.FailureDecisionExpired, apierror.NotRun
 		return a.result
 	}
+	if a.isAbandoned() {
+		a.result.Failure, a.result.Outcome = state.FailureCancelled, apierror.NotRun
+		return a.result
+	}
+	a.ctx = target.WithAbandonment(ctx, a.isAbandoned)
 	req, err := a.newRequest(r)
 	if err != nil {
 		g.log.Error("building the request to the target failed", "request", e.routedRequest.AttemptID, "error", err)
@@ -296,6 +308,17 @@
 	return a.result
 }
 
+// isAbandoned reports whether the attempt must not be sent because its caller has left, and
+// tells the core.
+func (a *routedAttempt) isAbandoned() bool {
+	if !a.start.EndsWithCaller || !a.exchange.hasCallerLeft() {
+		return false
+	}
+	a.gateway.meter.RequestAbandoned(abandonedUnsent)
+	a.gateway.daemon.Feed(state.CallerDisconnected{Request: a.start.Request})
+	return true
+}
+
 // hopByHopHeaders are the header fields that apply to a single connection.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
--- a/pkg/gateway/routedmeter.go
+++ b/pkg/gateway/routedmeter.go
@@ -11,13 +11,25 @@
 	// BodyRefused is called for a request that is refused with this code before its body
 	// was read.
 	BodyRefused(code string)
+	// RequestAbandoned is called for a request whose caller has left, with the stage at
+	// which this was noticed.
+	RequestAbandoned(stage string)
 }
 
+// Stages of a request at which it is noticed that its caller has left: before the core has
+// received it, before an attempt is sent, and at any time after the core has received it.
+const (
+	abandonedUnsubmitted = "unsubmitted"
+	abandonedUnsent      = "unsent"
+	abandonedSubmitted   = "submitted"
+)
+
 type noopMeter struct{}
 
-func (noopMeter) AnswerAborted(string) {}
-func (noopMeter) BodyUnread()          {}
-func (noopMeter) BodyRefused(string)   {}
+func (noopMeter) AnswerAborted(string)    {}
+func (noopMeter) BodyUnread()             {}
+func (noopMeter) BodyRefused(string)      {}
+func (noopMeter) RequestAbandoned(string) {}
 
 // SetMeter sets the meter. It must be called before the first request.
 func (g *RoutedGateway) SetMeter(m RoutedMeter) { g.meter = m }
--- a/pkg/gateway/server.go
+++ b/pkg/gateway/server.go
@@ -58,7 +58,7 @@
 	s := &Server{connStates: map[net.Conn]http.ConnState{}}
 	s.http = &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleConnectionTimeout,
-		MaxHeaderBytes: maxServerHeaderBytes, ConnState: s.connStateChanged,
+		MaxHeaderBytes: maxServerHeaderBytes, ConnState: s.connStateChanged, ConnContext: withCallerConn,
 	}
 	return s
 }
--- a/pkg/metric/docs_test.go
+++ b/pkg/metric/docs_test.go
@@ -31,6 +31,7 @@
 	r.RegisterMemory(memory.NewBudget(1))
 	r.AnswerAborted("x")
 	r.BodyRefused("x")
+	r.RequestAbandoned("x")
 	r.InputWaited(time.Second)
 	refusal := apierror.New(apierror.KindOverloaded, "x", "y", apierror.NotRun)
 	for _, in := range []state.Input{
--- a/pkg/metric/gateway.go
+++ b/pkg/metric/gateway.go
@@ -44,6 +44,11 @@
 	r.routed.set.GetOrCreateCounter(fmt.Sprintf("apricotgrade_request_bodies_refused_total{code=%q}", code)).Inc()
 }
 
+// RequestAbandoned implements gateway.RoutedMeter.
+func (r *Recorder) RequestAbandoned(stage string) {
+	r.routed.set.GetOrCreateCounter(fmt.Sprintf("apricotgrade_requests_abandoned_total{stage=%q}", stage)).Inc()
+}
+
 // RegisterMemory registers the memory that requests and answers hold.
 func (r *Recorder) RegisterMemory(b *memory.Budget) {
 	r.set.NewGauge("apricotgrade_request_memory_bytes", func() float64 { return float64(b.Used()) })
--- a/pkg/target/endpoint.go
+++ b/pkg/target/endpoint.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 )
 
@@ -99,13 +101,40 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	return &http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true, Protocols: protocols,
+		DialContext: unlessAbandoned(dialer.DialContext), DisableCompression: true, Protocols: protocols,
 		MaxIdleConnsPerHost: maxIdleConnsPerAddress, IdleConnTimeout: idleConnTimeout,
 		ReadBufferSize: readBufferBytes, WriteBufferSize: writeBufferBytes,
 		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
 	}
 }
 
+// ErrAbandoned means that a request was not sent because nobody waits for its answer.
+var ErrAbandoned = errors.New("the request was abandoned before it was sent")
+
+type abandonmentKey struct{}
+
+// WithAbandonment returns a context for a request that is not sent on a new connection if
+// abandoned returns true once the connection is established. Its error is then ErrAbandoned.
+func WithAbandonment(ctx context.Context, abandoned func() bool) context.Context {
+	return context.WithValue(ctx, abandonmentKey{}, abandoned)
+}
+
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+func unlessAbandoned(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, errors.Wrap(err, "connect to target")
+		}
+		if abandoned, ok := ctx.Value(abandonmentKey{}).(func() bool); ok && abandoned() {
+			_ = conn.Close()
+			return nil, ErrAbandoned
+		}
+		return conn, nil
+	}
+}
+
 // get returns the endpoint of an address and creates it if needed.
 func (e *endpoints) get(address string) *endpoint {
 	now := time.Now()
