Take the sum of the peers' loads when it is needed, and encode a message once

Each status of a peer made a node sum up the statuses of all peers, 700 times a second at a hub with 70 peers; the sum is now taken when a request is placed. A status, or rows of a table, were encoded again for each of the peers; the links now share the encoded frame.

--- a/pkg/core/dispatch/dispatch.go
+++ b/pkg/core/dispatch/dispatch.go
@@ -65,6 +65,9 @@
 	failovers *state.DueQueue[state.RequestID]
 	deletions *state.DueQueue[state.RequestID]
 	demand    map[string]*decayingRate
+	// peerLoadsChanged is set while the reports of peers are newer than the loads of the
+	// targets that follow from them.
+	peerLoadsChanged bool
 	// changedNodes collects the changes of the registered nodes, of which nodesVersion
 	// counts those that were seen.
 	changedNodes *state.DirtySet[state.NodeID]
@@ -106,7 +109,7 @@
 		}
 	case state.PeerMessage:
 		if in.Message.PeerStatus != nil {
-			s.sumPeerLoads()
+			s.peerLoadsChanged = true
 			s.placeQueued(now, out)
 		}
 	case state.Tick:
--- a/pkg/core/dispatch/place.go
+++ b/pkg/core/dispatch/place.go
@@ -64,6 +64,9 @@
 // pickTarget draws a target at random among the eligible ones of about the lowest
 // cost, or returns nil if there is none.
 func (s *System) pickTarget(now time.Duration, active *activeRequest) *target {
+	if s.peerLoadsChanged {
+		s.sumPeerLoads()
+	}
 	var candidates []candidate
 	for _, t := range active.pool.targets {
 		if s.isEligible(now, t, active) {
--- a/pkg/core/dispatch/target.go
+++ b/pkg/core/dispatch/target.go
@@ -174,7 +174,11 @@
 
 // sumPeerLoads sets the peer load of each target to the sum of the last reports
 // of all peers.
+//
+// Load pattern: each of 70 peers of a hub reports ten times a second. The sum is therefore
+// taken when a request is placed, and not with each report.
 func (s *System) sumPeerLoads() {
+	s.peerLoadsChanged = false
 	for _, t := range s.targets {
 		t.peerLoad = state.TargetLoad{}
 	}
--- a/pkg/peer/frame.go
+++ b/pkg/peer/frame.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
@@ -40,6 +41,19 @@
 	return mode
 }
 
+// frame is a message that is encoded once, however many links send it.
+type frame struct {
+	message state.Message
+	once    sync.Once
+	encoded []byte
+	err     error
+}
+
+func (f *frame) encode() ([]byte, error) {
+	f.once.Do(func() { f.encoded, f.err = encodeMessage(f.message) })
+	return f.encoded, f.err
+}
+
 // encodeMessage encodes a message as a frame. It returns an error if the frame
 // exceeds maxFrameBytes.
 func encodeMessage(m state.Message) ([]byte, error) {
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -33,7 +33,7 @@
 
 	// mu guards queue.
 	mu    sync.Mutex
-	queue []state.Message
+	queue []*frame
 	// wake signals the write loop that the queue is not empty.
 	wake chan struct{}
 	// quit is closed when the link closes.
@@ -62,13 +62,13 @@
 // enqueue adds a message to the send queue. If the queue is full, the oldest
 // droppable message is removed. If it contains none, the new message is dropped
 // and enqueue returns false; protocols must tolerate lost messages anyway.
-func (lk *link) enqueue(m state.Message) bool {
+func (lk *link) enqueue(f *frame) bool {
 	lk.mu.Lock()
 	defer lk.mu.Unlock()
 	if len(lk.queue) >= maxQueuedMessages && !lk.dropOldestDroppable() {
 		return false
 	}
-	lk.queue = append(lk.queue, m)
+	lk.queue = append(lk.queue, f)
 	select {
 	case lk.wake <- struct{}{}:
 	default:
@@ -80,7 +80,7 @@
 // returns false if there is none. The caller holds mu.
 func (lk *link) dropOldestDroppable() bool {
 	for i := range lk.queue {
-		if isDroppable(&lk.queue[i]) {
+		if isDroppable(&lk.queue[i].message) {
 			lk.queue = append(lk.queue[:i], lk.queue[i+1:]...)
 			return true
 		}
@@ -89,7 +89,7 @@
 }
 
 // drainQueue empties the queue and returns its messages.
-func (lk *link) drainQueue() []state.Message {
+func (lk *link) drainQueue() []*frame {
 	lk.mu.Lock()
 	defer lk.mu.Unlock()
 	messages := lk.queue
@@ -112,17 +112,17 @@
 				return
 			}
 		case <-lk.wake:
-			for _, m := range lk.drainQueue() {
-				frame, err := encodeMessage(m)
+			for _, f := range lk.drainQueue() {
+				encoded, err := f.encode()
 				if err != nil {
 					onEncodeError(err)
 					continue
 				}
 				_ = lk.conn.SetWriteDeadline(time.Now().Add(linkTimeout))
-				if lk.conn.WriteMessage(websocket.BinaryMessage, frame) != nil {
+				if lk.conn.WriteMessage(websocket.BinaryMessage, encoded) != nil {
 					return
 				}
-				lk.meter.PeerBytesSent(len(frame))
+				lk.meter.PeerBytesSent(len(encoded))
 			}
 		}
 	}
--- a/pkg/peer/links.go
+++ b/pkg/peer/links.go
@@ -43,10 +43,17 @@
 	mu        sync.Mutex
 	links     map[state.NodeID]*link
 	dialTasks map[state.NodeID]*dialTask
-	closed    bool
-	workers   sync.WaitGroup
+	// recent holds the last frames that were sent, newest first. A message to several
+	// peers, such as a status or rows of a table, is sent to one after another.
+	recent  [recentFrames]*frame
+	closed  bool
+	workers sync.WaitGroup
 }
 
+// recentFrames exceeds the number of messages that are sent alternately: a hub has one status
+// for hubs and one for leaves.
+const recentFrames = 2
+
 // dialTask is the goroutine that maintains the link to one peer.
 type dialTask struct {
 	address string
@@ -142,12 +149,30 @@
 func (l *Links) Send(to state.NodeID, m state.Message) {
 	l.mu.Lock()
 	lk := l.links[to]
+	var f *frame
+	if lk != nil {
+		f = l.frameOf(m)
+	}
 	l.mu.Unlock()
-	if lk != nil && !lk.enqueue(m) {
+	if lk != nil && !lk.enqueue(f) {
 		l.log.Warn("send queue of peer is full; message dropped", "peer", to)
 	}
 }
 
+// frameOf returns the frame of a message, which is that of an earlier one with the same
+// content. Messages are not changed once they are sent. The caller holds mu.
+func (l *Links) frameOf(m state.Message) *frame {
+	for _, f := range l.recent {
+		if f != nil && f.message == m {
+			return f
+		}
+	}
+	f := &frame{message: m}
+	copy(l.recent[1:], l.recent[:])
+	l.recent[0] = f
+	return f
+}
+
 // Close closes all links and waits until the input handler has received their
 // last inputs.
 func (l *Links) Close() {
--- a/pkg/peer/links_test.go
+++ b/pkg/peer/links_test.go
@@ -211,17 +211,17 @@
 	g := NewWithT(t)
 	lk := newLink(hello{Node: "b"}, "a", nil)
 	for i := range maxQueuedMessages {
-		g.Expect(lk.enqueue(state.Message{PollRequest: &state.PollRequest{Seq: uint64(i)}})).To(BeTrue())
+		g.Expect(lk.enqueue(&frame{message: state.Message{PollRequest: &state.PollRequest{Seq: uint64(i)}}})).To(BeTrue())
 	}
-	g.Expect(lk.enqueue(state.Message{ClaimQuery: &state.ClaimQuery{IdempotencyKey: "x"}})).To(BeTrue())
+	g.Expect(lk.enqueue(&frame{message: state.Message{ClaimQuery: &state.ClaimQuery{IdempotencyKey: "x"}}})).To(BeTrue())
 	queue := lk.drainQueue()
 	g.Expect(queue).To(HaveLen(maxQueuedMessages))
-	g.Expect(queue[0].PollRequest.Seq).To(Equal(uint64(1)))
-	g.Expect(queue[maxQueuedMessages-1].ClaimQuery).NotTo(BeNil())
+	g.Expect(queue[0].message.PollRequest.Seq).To(Equal(uint64(1)))
+	g.Expect(queue[maxQueuedMessages-1].message.ClaimQuery).NotTo(BeNil())
 	for range maxQueuedMessages {
-		g.Expect(lk.enqueue(state.Message{ClaimQuery: &state.ClaimQuery{}})).To(BeTrue())
+		g.Expect(lk.enqueue(&frame{message: state.Message{ClaimQuery: &state.ClaimQuery{}}})).To(BeTrue())
 	}
-	g.Expect(lk.enqueue(state.Message{ClaimQuery: &state.ClaimQuery{}})).To(BeFalse())
+	g.Expect(lk.enqueue(&frame{message: state.Message{ClaimQuery: &state.ClaimQuery{}}})).To(BeFalse())
 }
 
 // TestUnreachablePeerDoesNotBlock guards against SetPeers or Send blocking on a
@@ -243,3 +243,30 @@
 	}()
 	g.Eventually(done, eventuallyTimeout).Should(BeClosed())
 }
+
+// TestMessageToManyPeersIsEncodedOnce guards against a hub that encodes the same status or the
+// same rows again for each of its leaves.
+func TestMessageToManyPeersIsEncodedOnce(t *testing.T) {
+	g := NewWithT(t)
+	l := New(state.Self{ID: "a"}, nil, nil)
+	peers := []state.NodeID{"b", "c", "d", "e"}
+	for _, id := range peers {
+		l.links[id] = newLink(hello{Node: id}, "a", nil)
+	}
+	forHubs, forLeaves := &state.PeerStatus{StoreReplyAge: 1}, &state.PeerStatus{StoreReplyAge: 2}
+	for i, id := range peers {
+		l.Send(id, state.Message{PeerStatus: []*state.PeerStatus{forHubs, forLeaves}[i%2]})
+	}
+	frames := map[*frame]bool{}
+	for _, id := range peers {
+		for _, f := range l.links[id].drainQueue() {
+			frames[f] = true
+			encoded, err := f.encode()
+			g.Expect(err).NotTo(HaveOccurred())
+			m, err := decodeMessage(encoded)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(m.PeerStatus).To(Equal(f.message.PeerStatus))
+		}
+	}
+	g.Expect(frames).To(HaveLen(2))
+}
