Let the machines with the largest processor shares relay and form groups

Hubs, of which one holds the formation lease, were the first three nodes of each data centre by name. On the large site most of these have 0.192 of a core, beside others with 0.8; on the grown sites 0.12 and 0.5.

A node now registers the part of a processor core that it may use (setting processor_share), and the hubs of a data centre are the nodes with the largest ones. Hubs watch the store before their leaves and come first when the lease is free, whatever their names; TestLeafBeforeItsHubsDoesNotWatchStore fails with the names alone. TestStartOfManyHostsFitsSmallestMachine measures the whole start.

--- a/pkg/core/formation/lease.go
+++ b/pkg/core/formation/lease.go
@@ -240,8 +240,19 @@
 	if _, hasPeerStatus := s.managed.PeerStatusAt[stored.Row.Holder]; !hasPeerStatus {
 		wait = unreachableTakeoverTimeout
 	}
-	rank := max(slices.Index(s.managed.Nodes.Keys(), s.tables.Self.ID), 0)
-	return now-stored.RenewalSeenAt > wait+time.Duration(min(rank, maxRank))*rankDelay
+	return now-stored.RenewalSeenAt > wait+time.Duration(min(s.rank(), maxRank))*rankDelay
+}
+
+// rank returns the position of this node among the candidates for the lease. Hubs come before
+// all other nodes, which would release the lease to them.
+func (s *System) rank() int {
+	switch {
+	case s.managed.Hubs == nil:
+		return max(slices.Index(s.managed.Nodes.Keys(), s.tables.Self.ID), 0)
+	case s.managed.Hubs[s.tables.Self.ID]:
+		return slices.Index(state.SortedKeys(s.managed.Hubs), s.tables.Self.ID)
+	}
+	return maxRank
 }
 
 func (s *System) writeLease(now time.Duration, row state.LeaseRow, revision uint64, out *state.Outbox) {
--- a/pkg/core/inventory/hub.go
+++ b/pkg/core/inventory/hub.go
@@ -21,16 +21,27 @@
 )
 
 // chooseHubs returns the hubs of an installation, or nil if all nodes are
-// linked with each other. All nodes derive the same hubs from the registry.
+// linked with each other: in each data centre the nodes with the largest processor shares. All nodes
+// derive the same hubs from the registry.
+//
+// Load pattern: a hub sends to each leaf ten times a second, and the one that holds the
+// formation lease orders and reads all hosts. Most machines have a fifth of a core.
 func chooseHubs(nodes *state.Table[state.NodeID, state.RegisteredNode]) map[state.NodeID]bool {
 	if nodes.Len() <= state.MaxFullMeshNodes {
 		return nil
 	}
+	candidates := make([]*state.RegisteredNode, 0, nodes.Len())
+	for _, row := range nodes.All() {
+		candidates = append(candidates, row)
+	}
+	slices.SortStableFunc(candidates, func(a, b *state.RegisteredNode) int {
+		return cmp.Compare(b.Entry.ProcessorShare, a.Entry.ProcessorShare)
+	})
 	hubs, hubCounts := map[state.NodeID]bool{}, map[state.DataCentre]int{}
-	for id, row := range nodes.All() {
+	for _, row := range candidates {
 		if dc := row.Entry.DataCentre; hubCounts[dc] < hubsPerDataCentre {
 			hubCounts[dc]++
-			hubs[id] = true
+			hubs[row.Entry.ID] = true
 		}
 	}
 	return hubs
@@ -88,7 +99,7 @@
 }
 
 // updateWatching decides whether this node watches the tables of the store
-// itself. It does not if a peer of its data centre with a lower ID reports a
+// itself. It does not if a peer of its data centre that precedes it reports a
 // recent store reply. Calls and bytes of the store are charged, and relayed
 // rows arrive within a few milliseconds. The holder of the formation lease
 // always watches.
@@ -149,6 +160,15 @@
 	return age < maxStoreReplyAge+relayDelay
 }
 
+// precedes reports whether a node watches the store before this one: hubs do before their
+// leaves, and otherwise those with lower IDs.
+func (s *System) precedes(id state.NodeID) bool {
+	if isHub := s.hubs[id]; isHub != s.hubs[s.tables.Self.ID] {
+		return isHub
+	}
+	return id < s.tables.Self.ID
+}
+
 // hasWatchingPeer reports whether a peer of the same data centre watches the
 // tables, or receives them from one that does, and relays them to this node.
 func (s *System) hasWatchingPeer(now time.Duration) bool {
@@ -157,7 +177,7 @@
 	}
 	for id, status := range s.peerStatuses {
 		row := s.managed.Nodes.Get(id)
-		if row != nil && row.Entry.DataCentre == s.tables.Self.DataCentre && id < s.tables.Self.ID &&
+		if row != nil && row.Entry.DataCentre == s.tables.Self.DataCentre && s.precedes(id) &&
 			now-s.managed.PeerStatusAt[id] < peerStatusTimeout && s.isRelayed(now, id, status.StoreReplyAge) {
 			return true
 		}
--- a/pkg/core/inventory/peers.go
+++ b/pkg/core/inventory/peers.go
@@ -20,6 +20,7 @@
 	}
 	self := state.NodeEntry{
 		ID: s.tables.Self.ID, DataCentre: s.tables.Self.DataCentre, Address: s.tables.Self.Address, Incarnation: s.tables.Self.Incarnation,
+		ProcessorShare: s.tables.Self.ProcessorShare,
 	}
 	if s.isRegistered(self) {
 		return
--- a/pkg/core/state/config.go
+++ b/pkg/core/state/config.go
@@ -37,6 +37,8 @@
 	DataCentre  DataCentre  `cbor:"2,keyasint"`
 	Address     string      `cbor:"3,keyasint"`
 	Incarnation Incarnation `cbor:"4,keyasint"`
+	// ProcessorShare is the part of a processor core that the process may use.
+	ProcessorShare float64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Document holds the declarations of the operators.
--- a/pkg/core/state/row.go
+++ b/pkg/core/state/row.go
@@ -22,6 +22,8 @@
 	// all nodes: a ratio to its requests and an absolute number, in 10 s.
 	RetryRatio float64
 	RetryBase  int
+	// ProcessorShare is that of NodeEntry.
+	ProcessorShare float64
 }
 
 // Configuration is this node's copy of the configuration. Written by the
--- a/pkg/settings/tables.go
+++ b/pkg/settings/tables.go
@@ -43,6 +43,10 @@
 					Name: "memory_mb", Kind: inifile.Integer, Default: "184", Min: 64, Max: 1 << 20, Unit: "MiB",
 					Help: "Memory that the process may use, above which the host ends it. Six tenths are for the bodies and answers of requests; a request that finds none is refused. The flag `-memory-mb` of the daemon takes precedence.",
 				},
+				{
+					Name: "processor_share", Kind: inifile.Ratio, Default: "1",
+					Help: "Part of a processor core that the process may use. Where more than nine nodes run, those with the most relay messages and form replica groups. Used with `configuration = platform`.",
+				},
 				{Name: "log_level", Kind: inifile.Choice, Default: "info", Choices: []string{"debug", "info", "warn", "error"}, Help: "Lowest level of log lines."},
 			},
 		},
