--- a/pkg/node/main.go
+++ b/pkg/node/main.go
@@ -18,17 +18,28 @@
 // flushTimeout bounds the wait for the last log lines when the process ends.
 const flushTimeout = 200 * time.Millisecond
 
-// Main runs the entry daemon with the settings of a file. A memoryMB above 0 takes precedence
-// over the setting. A signal on stop shuts it down
-// gracefully, after which Main returns. A signal on reload reloads the settings.
-func Main(ctx context.Context, path string, memoryMB int, logOutput io.Writer, stop, reload <-chan os.Signal) error {
+// Machine is what the process may use of its machine. A value above 0 takes precedence over the
+// setting of the same name.
+type Machine struct {
+	// MemoryMB is in MiB.
+	MemoryMB int
+	// ProcessorShare is the part of a processor core.
+	ProcessorShare float64
+}
+
+// Main runs the entry daemon with the settings of a file on a machine. A signal on stop shuts
+// it down gracefully, after which Main returns. A signal on reload reloads the settings.
+func Main(ctx context.Context, path string, machine Machine, logOutput io.Writer, stop, reload <-chan os.Signal) error {
 	QuietLibraries()
 	cfg, err := settings.LoadNode(path)
 	if err != nil {
 		return err
 	}
-	if memoryMB > 0 {
-		cfg.MemoryMB = memoryMB
+	if machine.MemoryMB > 0 {
+		cfg.MemoryMB = machine.MemoryMB
+	}
+	if machine.ProcessorShare > 0 {
+		cfg.ProcessorShare = machine.ProcessorShare
 	}
 	debug.SetMemoryLimit(memory.CollectorBytes(cfg.MemoryBytes()))
 	writer := logging.NewWriter(logOutput)
--- a/pkg/settings/tables.go
+++ b/pkg/settings/tables.go
@@ -45,7 +45,7 @@
 				},
 				{
 					Name: "processor_share", Kind: inifile.Ratio, Default: "1",
-					Help: "Part of a processor core that the process may use. Where more than nine nodes run, those with the most relay messages and form replica groups. Used with `configuration = platform`.",
+					Help: "Part of a processor core that the process may use. Where more than nine nodes run, those with the largest part relay messages and form replica groups. Used with `configuration = platform`. The flag `-processor-share` of the daemon takes precedence.",
 				},
 				{Name: "log_level", Kind: inifile.Choice, Default: "info", Choices: []string{"debug", "info", "warn", "error"}, Help: "Lowest level of log lines."},
 			},
--- a/test/main_test.go
+++ b/test/main_test.go
@@ -32,7 +32,7 @@
 	case programDaemon:
 		path := flag.String("settings", "", "")
 		flag.Parse()
-		if err := node.Main(context.Background(), *path, 0, os.Stderr, processsignal.Stop(), processsignal.Reload()); err != nil {
+		if err := node.Main(context.Background(), *path, node.Machine{}, os.Stderr, processsignal.Stop(), processsignal.Reload()); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
 		}
