Send no empty success to a caller that has closed its sending side

Looked for beside the report of a 200 with an empty body, framed as whole: at a node of a declared installation a caller that closes its sending side after the request counts as one that has left. The handler returned without an answer, which the HTTP server sends as an empty 200. The connection is now closed, as on managed nodes. TestHalfClosedCallerGetsNoEmptyAnswer failed in both places; one of them came with the look at the caller's socket.

--- a/pkg/core/formation/formation.go
+++ b/pkg/core/formation/formation.go
@@ -47,7 +47,8 @@
 	changedInstances *state.DirtySet[state.HostID]
 	observed         observed
 	changes          changeSet
-	nextExpiryAt     time.Duration
+	// nextExpiryAt is when groups that no entry names are next deleted.
+	nextExpiryAt time.Duration
 	// plans holds the groups that this node is forming, by group ID.
 	plans map[state.GroupID]*plan
 	// neverOpened holds the groups that this node abandoned before it sent the
--- a/pkg/gateway/callerconn_test.go
+++ b/pkg/gateway/callerconn_test.go
@@ -109,3 +109,49 @@
 	_ = res.Body.Close()
 	g.Expect(<-known).To(BeTrue())
 }
+
+// answerToHalfClosed returns the status line that a caller receives which sends a request and
+// closes its sending side before handle is called.
+func answerToHalfClosed(t *testing.T, handle http.HandlerFunc) string {
+	g := NewWithT(t)
+	s := NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for !isClosedByPeer(callerConnOf(r)) {
+			time.Sleep(time.Millisecond)
+		}
+		handle(w, r)
+	}))
+	listener, err := Listen("127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	go func() { _ = s.Serve(listener) }()
+	defer func() { _ = s.Close() }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(conn.(*net.TCPConn).CloseWrite()).To(Succeed())
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	answer, _ := io.ReadAll(conn)
+	return string(answer)
+}
+
+// TestHalfClosedCallerGetsNoEmptyAnswer guards against a success with an empty body, framed as
+// whole, for a caller that has closed its sending side and so counts as one that has left.
+func TestHalfClosedCallerGetsNoEmptyAnswer(t *testing.T) {
+	if runtime.GOOS != "linux" {
+		t.Skip("the state of a socket is known on Linux only")
+	}
+	gw := newIdleGateway(t)
+	for name, handle := range map[string]http.HandlerFunc{
+		"before the submission": func(w http.ResponseWriter, r *http.Request) { gw.run(w, r, modelRequest(false)) },
+		"before the answer": func(w http.ResponseWriter, _ *http.Request) {
+			e := newExchange(modelRequest(false))
+			e.callerDisconnected.Store(true)
+			finishAnswer(w, e, state.Reply{})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			NewWithT(t).Expect(answerToHalfClosed(t, handle)).To(BeEmpty())
+		})
+	}
+}
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -158,7 +158,7 @@
 	e := newExchange(request)
 	e.callerConn = callerConnOf(r)
 	if e.hasCallerLeft() {
-		return
+		panic(http.ErrAbortHandler)
 	}
 	g.daemon.Submit(request.arrival, e)
 	// The core drops a disconnect that it receives before the request.
@@ -206,6 +206,9 @@
 func finishAnswer(w http.ResponseWriter, e *exchange, reply state.Reply) {
 	switch {
 	case e.callerDisconnected.Load():
+		// A handler that returns sends an empty success, which a caller that has closed
+		// only its sending side would receive.
+		panic(http.ErrAbortHandler)
 	case reply.Answer != nil && !e.answerStarted:
 		writeAnswer(w, reply)
 	case reply.Refusal != nil && e.answerStarted:
