--- a/pkg/target/endpoint.go
+++ b/pkg/target/endpoint.go
@@ -124,14 +124,11 @@
 func unlessAbandoned(dial dialFunc) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, errors.Wrap(err, "connect to target")
-		}
-		if abandoned, ok := ctx.Value(abandonmentKey{}).(func() bool); ok && abandoned() {
+		if abandoned, ok := ctx.Value(abandonmentKey{}).(func() bool); err == nil && ok && abandoned() {
 			_ = conn.Close()
 			return nil, ErrAbandoned
 		}
-		return conn, nil
+		return conn, err
 	}
 }
 
