--- a/pkg/peer/holderreplay_test.go
+++ b/pkg/peer/holderreplay_test.go
@@ -1,3 +1,7 @@
+//go:build !race
+
+// The race detector multiplies the processor time of a program.
+
 package peer
 
 import (
