--- a/pkg/core/inventory/hub.go
+++ b/pkg/core/inventory/hub.go
@@ -25,7 +25,8 @@
 // derive the same hubs from the registry.
 //
 // Load pattern: a hub sends to each leaf ten times a second, and the one that holds the
-// formation lease orders and reads all hosts. Most machines have a fifth of a core.
+// formation lease orders and reads all hosts. The machines of an installation may differ several times in
+// what they can bear.
 func chooseHubs(nodes *state.Table[state.NodeID, state.RegisteredNode]) map[state.NodeID]bool {
 	if nodes.Len() <= state.MaxFullMeshNodes {
 		return nil
--- a/pkg/peer/links.go
+++ b/pkg/peer/links.go
@@ -50,8 +50,8 @@
 	workers sync.WaitGroup
 }
 
-// recentFrames exceeds the number of messages that are sent alternately: a hub has one status
-// for hubs and one for leaves.
+// recentFrames is the number of messages that are sent alternately: a hub has one status for
+// hubs and one for leaves.
 const recentFrames = 2
 
 // dialTask is the goroutine that maintains the link to one peer.
