Choose targets by water-filling where counts of peers are relayed

Cause: counts that come through hubs are 200 to 300 ms old. All nodes took the best of a few targets by the same old counts, so that one target got 14 requests in 200 ms where the mean got 3, and they filled slots that others had filled meanwhile. The predicted time to the first event lacked 95 ms that no profile names. Ruled out: waits in the queue of the node (3 of 3,636 late answers) and gaps between events (70). Change: requests level the predicted times of all targets, are admitted as far as there is room, and fill a target only as far as its first events are in time. Installations with a full mesh choose as before.

--- a/pkg/core/dispatch/attempt.go
+++ b/pkg/core/dispatch/attempt.go
@@ -61,6 +61,7 @@
 	case state.AttemptFirstByte:
 		if active.firstEventAt == 0 {
 			active.firstEventAt = now
+			s.countFirstEvent(now, active)
 		}
 		s.dropFallbacks(now, active, out)
 		s.handleFirstEvent(active, out)
@@ -245,7 +246,7 @@
 	s.releaseTarget(now, active)
 	if ev.Failure == state.FailureNone {
 		s.dropFallbacks(now, active, out)
-		s.answer(now, req, ev.AnswerBuffered, out)
+		s.answer(now, req, ev.AnswerBuffered, ev.LongestGap, out)
 		s.placeQueued(now, out)
 		return
 	}
@@ -265,7 +266,7 @@
 		return
 	}
 	if ev.AnswerBuffered {
-		s.answer(now, req, true, out)
+		s.answer(now, req, true, 0, out)
 		return
 	}
 	s.refuse(now, req, s.failureRefusal(now, active), out)
--- a/pkg/core/dispatch/dispatch.go
+++ b/pkg/core/dispatch/dispatch.go
@@ -34,10 +34,16 @@
 	priority int
 	// queuedAt is when the request was last queued for another attempt.
 	queuedAt time.Duration
+	// nextDrawAt is when a queued request is placed again after it found no room by counts
+	// that arrive only with the next status of the peers.
+	nextDrawAt time.Duration
 	// objectiveEnd is the time by which the latency objective must be met.
 	objectiveEnd time.Duration
 	// firstEventAt is when the first event of any attempt arrived; 0 before that.
 	firstEventAt time.Duration
+	// firstSentAt is when the first attempt was started, and predicted the time to the
+	// first event that was predicted for the last one.
+	firstSentAt, predicted time.Duration
 }
 
 // hasBegun reports whether the caller has received a part of the answer.
@@ -68,6 +74,10 @@
 	// peerLoadsChanged is set while the reports of peers are newer than the loads of the
 	// targets that follow from them.
 	peerLoadsChanged bool
+	// peerStatusAt is when a peer last reported its loads.
+	peerStatusAt time.Duration
+	// pickOnRelayed chooses a target where counts of peers are relayed.
+	pickOnRelayed func(now time.Duration, active *activeRequest) *target
 	// changedNodes collects the changes of the registered nodes, of which nodesVersion
 	// counts those that were seen.
 	changedNodes *state.DirtySet[state.NodeID]
@@ -81,13 +91,15 @@
 
 // New returns the dispatch system.
 func New(t *state.Tables) *System {
-	return &System{
+	s := &System{
 		tables: t, managed: t.Managed, targets: map[state.HostID]*target{}, pools: map[poolKey]*targetPool{},
 		activeRequests: map[state.RequestID]*activeRequest{}, retryBudgets: map[string]*retryBudget{},
 		deadlines: state.NewDueQueue[state.RequestID](), failovers: state.NewDueQueue[state.RequestID](),
 		deletions: state.NewDueQueue[state.RequestID](), demand: map[string]*decayingRate{}, admissionClosesAt: -1,
 		changedNodes: t.Managed.Nodes.Subscribe(),
 	}
+	s.pickOnRelayed = s.pickOnRelayedCounts
+	return s
 }
 
 // Step implements state.System.
@@ -109,7 +121,7 @@
 		}
 	case state.PeerMessage:
 		if in.Message.PeerStatus != nil {
-			s.peerLoadsChanged = true
+			s.peerLoadsChanged, s.peerStatusAt = true, now
 			s.placeQueued(now, out)
 		}
 	case state.Tick:
@@ -138,6 +150,7 @@
 	s.deadlines.Schedule(arrival.ID, req.Deadline)
 	s.retryBudget(req.Service).countRequest(now)
 	s.countDemand(now, req)
+	active.pool.classes.countArrival(now, active.priority)
 	if !s.place(now, active, out) {
 		s.enqueue(now, active, out)
 	}
@@ -312,14 +325,18 @@
 
 // answer ends a request with the answer of its last attempt. A buffered answer
 // goes to the caller now; any other has already been forwarded.
-func (s *System) answer(now time.Duration, req *state.Request, buffered bool, out *state.Outbox) {
+func (s *System) answer(now time.Duration, req *state.Request, buffered bool, longestGap time.Duration, out *state.Outbox) {
 	s.tables.EndWithAnswer(now, req, state.Reply{UseBufferedAnswer: buffered}, out)
+	active := s.activeRequests[req.Arrival.ID]
 	firstEventAt := now
-	if active := s.activeRequests[req.Arrival.ID]; active != nil && active.firstEventAt > 0 {
+	if active.firstEventAt > 0 {
 		firstEventAt = active.firstEventAt
 	}
-	out.Log(event.RequestEnded, slog.String("request", req.Arrival.Routed.AttemptID), slog.String("target", string(req.Target)),
-		slog.Int("attempts", req.Attempt), slog.Duration("first", firstEventAt-req.ArrivedAt), slog.Duration("age", now-req.ArrivedAt))
+	late := latenessCause(req, active, firstEventAt, longestGap)
+	out.Log(event.RequestEnded, slog.String("request", req.Arrival.Routed.AttemptID), slog.String("route", req.Route.Name), slog.String("target", string(req.Target)),
+		slog.Int("attempts", req.Attempt), slog.Duration("queued", active.firstSentAt-req.ArrivedAt), slog.Duration("predicted", active.predicted),
+		slog.Duration("first", firstEventAt-req.ArrivedAt), slog.Duration("gap", longestGap), slog.Duration("age", now-req.ArrivedAt),
+		slog.String("late", string(late)))
 	s.finish(now, req)
 }
 
--- a/pkg/core/dispatch/place.go
+++ b/pkg/core/dispatch/place.go
@@ -18,11 +18,6 @@
 	// nearBestSlack is added to the bound, so that requests also spread over idle
 	// targets, whose costs are low.
 	nearBestSlack = 4 * time.Millisecond
-	// sampleSize is the number of randomly drawn targets among which the best one is
-	// chosen if there are more than MaxFullMeshNodes nodes. Of these, localSampleSize are
-	// of the node's own data centre, if it has as many.
-	sampleSize      = 3
-	localSampleSize = 2
 	// crossDataCentreCost is the cost of a target in another data centre: a round
 	// trip of 1 ms, and traffic between data centres, which is charged by the byte.
 	crossDataCentreCost = 6 * time.Millisecond
@@ -67,55 +62,36 @@
 	if s.peerLoadsChanged {
 		s.sumPeerLoads()
 	}
-	var candidates []candidate
-	for _, t := range active.pool.targets {
-		if s.isEligible(now, t, active) {
-			candidates = append(candidates, candidate{t, s.cost(now, t, active)})
-		}
-	}
-	if s.managed.Nodes.Len() > state.MaxFullMeshNodes {
-		candidates = s.sample(candidates)
+	pick := s.pickNearBest
+	if s.hasRelayedCounts() {
+		pick = s.pickOnRelayed
 	}
-	candidates = nearBestCandidates(candidates)
-	if len(candidates) == 0 {
+	t := pick(now, active)
+	if t == nil {
+		if s.hasRelayedCounts() {
+			active.nextDrawAt = now + state.PeerStatusPeriod
+		}
 		return nil
 	}
-	t := candidates[s.tables.Rand.IntN(len(candidates))].target
 	if share := s.share(now, t); share != nil {
 		share.take(now)
 	}
 	return t
 }
 
-// sample returns up to sampleSize candidates, drawn at random. Most of them are of the
-// node's own data centre, because bytes between data centres are charged: with five data
-// centres, four of five requests crossed from one to another. A target elsewhere that is
-// less loaded is still found.
-//
-// Load pattern: 79 nodes with 30 groups, where loads of peers are 200 to 300 ms
-// old. Three requests per group arrive in that time. If all nodes send them to
-// the few groups that were best, each of these gets twenty, and half of the
-// requests miss their objective at three quarters of the full load. With the best
-// of a random sample, a group gets at most sampleSize times its share.
-func (s *System) sample(candidates []candidate) []candidate {
-	s.tables.Rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	drawn, local := 0, 0
-	for i := range candidates {
-		if drawn == sampleSize {
-			break
-		}
-		isLocal := candidates[i].target.dataCentre == s.tables.Self.DataCentre
-		if isLocal && local == localSampleSize || !isLocal && drawn-local == sampleSize-localSampleSize {
-			continue
-		}
-		if isLocal {
-			local++
+// pickNearBest draws one of the eligible targets of about the lowest cost.
+func (s *System) pickNearBest(now time.Duration, active *activeRequest) *target {
+	var candidates []candidate
+	for _, t := range active.pool.targets {
+		if s.exclusion(now, t, active) == "" && t.inFlight() < t.capacity() {
+			candidates = append(candidates, candidate{t, s.cost(now, t, active)})
 		}
-		candidates[drawn], candidates[i] = candidates[i], candidates[drawn]
-		drawn++
 	}
-	// Fewer are drawn if one of the two kinds is too rare. The others are in random order.
-	return candidates[:min(sampleSize, len(candidates))]
+	candidates = nearBestCandidates(candidates)
+	if len(candidates) == 0 {
+		return nil
+	}
+	return candidates[s.tables.Rand.IntN(len(candidates))].target
 }
 
 // nearBestCandidates returns the candidates whose cost is close to the lowest
@@ -129,42 +105,99 @@
 	return slices.DeleteFunc(candidates, func(c candidate) bool { return c.cost > maxCost })
 }
 
-// isEligible reports whether a target may get a request now. A target that peers
-// report as stalled is eligible only while a stream of this node delivers events
-// there. A target whose share is used up is not, since it has few requests and would
-// hide the other targets by its low cost.
-func (s *System) isEligible(now time.Duration, t *target, active *activeRequest) bool {
-	if !t.usable || t.suspect || now < t.avoidUntil || now < t.fullUntil || s.managed.IsPaused(now, t.id, t.startID) {
-		return false
+// exclusion names why a target may get no requests now, apart from its load.
+type exclusion string
+
+const (
+	excludedUnusable exclusion = "unusable"
+	excludedStalled  exclusion = "stalled"
+	excludedFailed   exclusion = "failed"
+	excludedRefused  exclusion = "refused"
+	excludedPaused   exclusion = "paused"
+	excludedTried    exclusion = "tried"
+	excludedBounded  exclusion = "bounded"
+)
+
+// exclusion returns why a target may not get a request now, or "". A target that peers
+// report as stalled may only while a stream of this node delivers events there. A target
+// whose share is used up may not, since it has few requests and would hide the other targets
+// by its low cost.
+func (s *System) exclusion(now time.Duration, t *target, active *activeRequest) exclusion {
+	switch {
+	case !t.usable:
+		return excludedUnusable
+	case t.suspect:
+		return excludedStalled
+	case now < t.avoidUntil:
+		return excludedFailed
+	case now < t.fullUntil:
+		return excludedRefused
+	case s.managed.IsPaused(now, t.id, t.startID):
+		return excludedPaused
+	case slices.Contains(active.req.TriedTargets, state.TargetID(t.id)):
+		return excludedTried
 	}
-	if _, stalled := s.managed.PeerStalledTargets[t.id]; stalled && !s.hasActiveStream(t) {
-		return false
+	if s.isStalledAtPeers(t) && !s.hasActiveStream(t) {
+		return excludedStalled
 	}
-	if slices.Contains(active.req.TriedTargets, state.TargetID(t.id)) {
-		return false
+	if share := s.share(now, t); share != nil && share.wait(now) > 0 {
+		return excludedBounded
 	}
-	slots := t.slots
-	if t.engine == nil {
-		slots *= plainRequestsPerSlot
+	return ""
+}
+
+// isStalledAtPeers reports whether peers find a target stalled. A leaf receives those that all
+// nodes with streams there find stalled. A hub receives the reports of single nodes and judges
+// them itself.
+func (s *System) isStalledAtPeers(t *target) bool {
+	stalled := s.managed.PeerStalledTargets
+	if s.managed.Hubs[s.tables.Self.ID] {
+		stalled = s.managed.GloballyStalledTargets
 	}
-	if t.inFlight() >= slots {
-		return false
+	_, ok := stalled[t.id]
+	return ok
+}
+
+// capacity returns the number of requests in flight that a target may have.
+func (t *target) capacity() int {
+	if t.engine == nil {
+		return t.slots * plainRequestsPerSlot
 	}
-	share := s.share(now, t)
-	return share == nil || share.wait(now) == 0
+	return t.slots
 }
 
 // cost returns the predicted time to the first event at a target, plus penalties
 // for recent failures and for another data centre.
 func (s *System) cost(now time.Duration, t *target, active *activeRequest) time.Duration {
-	cost := time.Duration(t.failureRate(now) * float64(failureCost))
-	if t.dataCentre != s.tables.Self.DataCentre {
-		cost += crossDataCentreCost
-	}
+	return s.penalty(now, t) + s.predict(t, active)
+}
+
+// predict returns the predicted time to the first event at a target, or to the answer of a
+// plain service.
+//
+// Counts that come through hubs are older than the time to a first event: what peers reported
+// as waiting for it runs by now. Otherwise a target with many such requests would get none for
+// a status period, and all of those that follow in the next.
+func (s *System) predict(t *target, active *activeRequest) time.Duration {
 	if t.engine == nil {
-		return cost + plainServiceTime*time.Duration(t.inFlight()+1)/time.Duration(t.slots)
+		return plainServiceTime * time.Duration(t.inFlight()+1) / time.Duration(t.slots)
+	}
+	load := t.engineLoad()
+	if s.hasRelayedCounts() {
+		load = engineLoad{
+			Running: t.load.Running + t.peerLoad.Running + t.peerLoad.Waiting, Waiting: t.load.Waiting, WaitingTokens: t.load.WaitingTokens,
+		}
 	}
-	return cost + timeToFirstEvent(t.engine, t.timeFactor, t.engineLoad(), active.req.Arrival.Routed.PromptTokens)
+	return timeToFirstEvent(t.engine, t.timeFactor, load, active.req.Arrival.Routed.PromptTokens)
+}
+
+// penalty returns the cost of a target for its recent failures and for another data centre.
+func (s *System) penalty(now time.Duration, t *target) time.Duration {
+	penalty := time.Duration(t.failureRate(now) * float64(failureCost))
+	if t.dataCentre != s.tables.Self.DataCentre {
+		penalty += crossDataCentreCost
+	}
+	return penalty
 }
 
 // startAttempt sends a request to a target. It logs retries and requests that
@@ -173,10 +206,15 @@
 	req := active.req
 	s.removeFromQueue(active)
 	routed := req.Arrival.Routed
-	predicted := s.cost(now, t, active)
+	predicted := s.predict(t, active)
 	req.Phase, req.Target, req.TargetStartID, req.SentAt = state.RequestSent, state.TargetID(t.id), t.startID, now
 	active.attempts++
 	req.Attempt = active.attempts
+	active.predicted = predicted
+	if active.attempts == 1 {
+		active.firstSentAt = now
+		active.pool.classes.admitted.add(now)
+	}
 	active.target, active.firstEventSeen, active.stalled = t, false, false
 	t.activeRequests[req.Arrival.ID] = active
 	t.addLoad(req, false)
@@ -214,6 +252,7 @@
 	active.target, active.firstEventSeen, active.stalled = nil, false, false
 	delete(t.activeRequests, active.req.Arrival.ID)
 	active.pool.attemptEndRate.add(now)
+	active.pool.countResidence(now - active.req.SentAt)
 	if !t.usable && len(t.activeRequests) == 0 && s.targets[t.id] == t {
 		delete(s.targets, t.id)
 		delete(s.managed.Loads, t.id)
--- a/pkg/core/dispatch/queue.go
+++ b/pkg/core/dispatch/queue.go
@@ -53,7 +53,7 @@
 	}
 	expected := s.expectedWait(now, pool, len(pool.queue)+1)
 	if expected > maxExpectedWait(active.req) {
-		s.refuse(now, active.req, overloaded().WithRetryAfter(s.retryAfter(active, now, expected)), out, s.overloadAttrs(pool, expected)...)
+		s.refuse(now, active.req, overloaded().WithRetryAfter(s.retryAfter(active, now, expected)), out, s.overloadAttrs(now, active, expected)...)
 		return
 	}
 	active.req.Phase = state.RequestQueued
@@ -63,16 +63,25 @@
 }
 
 // overloadAttrs returns the log attributes that explain a refusal for overload.
-func (s *System) overloadAttrs(pool *targetPool, expected time.Duration) []slog.Attr {
+func (s *System) overloadAttrs(now time.Duration, active *activeRequest, expected time.Duration) []slog.Attr {
+	pool := active.pool
 	inFlight, slots := 0, 0
+	excluded := map[exclusion]int{}
 	for _, t := range pool.targets {
 		inFlight += t.inFlight()
 		slots += t.slots
+		if reason := s.exclusion(now, t, active); reason != "" {
+			excluded[reason]++
+		}
 	}
-	return []slog.Attr{
+	attrs := []slog.Attr{
 		slog.Duration("expected", expected), slog.Int("waiting", len(pool.queue)), slog.Int("targets", len(pool.targets)),
 		slog.Int("in_flight", inFlight), slog.Int("slots", slots),
 	}
+	for _, reason := range state.SortedKeys(excluded) {
+		attrs = append(attrs, slog.Int("excluded_"+string(reason), excluded[reason]))
+	}
+	return attrs
 }
 
 // hasAvailableTarget reports whether any target of a pool is usable, not stalled
@@ -91,6 +100,9 @@
 // node, and not before boundedWait. That rate counts as no wait if none has ended.
 func (s *System) expectedWait(now time.Duration, pool *targetPool, position int) time.Duration {
 	bounded := s.boundedWait(now, pool, position)
+	if s.hasRelayedCounts() {
+		return max(bounded, s.roomWait(now, pool, position))
+	}
 	pool.attemptEndRate.decay(now)
 	if pool.attemptEndRate.perSecond <= 0 {
 		return bounded
@@ -116,12 +128,12 @@
 			continue
 		}
 		for _, active := range sortByUrgency(now, pool.queue) {
-			if s.place(now, active, out) {
+			if now >= active.nextDrawAt && s.place(now, active, out) {
 				continue
 			}
 			if s.isWaitUseless(now, active) {
 				expected := s.expectedWait(now, pool, len(pool.queue))
-				s.refuse(now, active.req, overloaded().WithRetryAfter(s.retryAfter(active, now, max(expected, minRetryAfter))), out, s.overloadAttrs(pool, expected)...)
+				s.refuse(now, active.req, overloaded().WithRetryAfter(s.retryAfter(active, now, max(expected, minRetryAfter))), out, s.overloadAttrs(now, active, expected)...)
 			}
 		}
 	}
--- a/pkg/core/dispatch/target.go
+++ b/pkg/core/dispatch/target.go
@@ -69,6 +69,10 @@
 	queue   []*activeRequest
 	// attemptEndRate is the number of attempts of this node that end per second.
 	attemptEndRate decayingRate
+	// meanResidence is the mean time of an attempt of this node; 0 before the first end.
+	meanResidence time.Duration
+	fixedLatency  fixedLatency
+	classes       classRates
 }
 
 // poolKey identifies a pool. The model is empty for a plain service.
--- a/pkg/core/state/input.go
+++ b/pkg/core/state/input.go
@@ -240,6 +240,9 @@
 	AnswerBuffered bool
 	// EventCount is the number of stream events that arrived in this attempt.
 	EventCount int
+	// LongestGap is the longest time between two deliveries of events to the caller, over
+	// all attempts. It is set when the attempt has ended.
+	LongestGap time.Duration
 	// InvalidAnswer is set if the target sent an answer that is not its answer to this
 	// request, so that it has not ended.
 	InvalidAnswer bool
--- a/pkg/gateway/routedattempt.go
+++ b/pkg/gateway/routedattempt.go
@@ -263,7 +263,7 @@
 		a.supersede()
 		return
 	}
-	a.result.Outcome = apierror.Done
+	a.result.Outcome, a.result.LongestGap = apierror.Done, a.exchange.longestGap
 	a.startAnswer(w, res)
 	a.claimAnswer()
 	a.eventsArrived()
@@ -300,9 +300,12 @@
 	e.deliveringAttempt = a.start.Attempt
 	e.deliveredEvents += a.result.EventCount - before
 	a.startAnswer(w, res)
-	if len(undelivered) > 0 && !e.callerDisconnected.Load() {
-		writer.write(undelivered)
-		writer.flush()
+	if len(undelivered) > 0 {
+		e.countDelivery(time.Now())
+		if !e.callerDisconnected.Load() {
+			writer.write(undelivered)
+			writer.flush()
+		}
 	}
 	a.eventsArrived()
 	if before == 0 {
@@ -311,6 +314,15 @@
 	return true
 }
 
+// countDelivery measures the time since the last delivery of events. The caller holds
+// answerMu.
+func (e *routedExchange) countDelivery(now time.Time) {
+	if !e.lastDeliveryAt.IsZero() {
+		e.longestGap = max(e.longestGap, now.Sub(e.lastDeliveryAt))
+	}
+	e.lastDeliveryAt = now
+}
+
 // undeliveredEvents returns the events that the caller does not have yet. It adds all
 // events to EventCount.
 func (a *routedAttempt) undeliveredEvents(events []byte) []byte {
--- a/pkg/gateway/routedgateway.go
+++ b/pkg/gateway/routedgateway.go
@@ -96,6 +96,10 @@
 	// as one.
 	deliveringAttempt int
 	deliveredEvents   int
+	// lastDeliveryAt is when events were last delivered, and longestGap the longest time
+	// between two deliveries.
+	lastDeliveryAt time.Time
+	longestGap     time.Duration
 	// eventsAtStall is deliveredEvents at the last stall of an attempt.
 	eventsAtStall int
 	// bufferedAnswer is the complete answer of the last attempt. The caller receives it
--- a/pkg/metric/managed.go
+++ b/pkg/metric/managed.go
@@ -49,6 +49,10 @@
 			m.increment("apricotgrade_group_changes_total{change=%q}", name)
 		}
 		switch out.Event {
+		case event.RequestEnded:
+			if late := attrValue(out, "late"); late != "" {
+				m.increment("apricotgrade_late_answers_total{cause=%q}", late)
+			}
 		case event.PromptPartQuarantined:
 			m.quarantinedParts.Inc()
 		case event.PromptPartReleased:
@@ -65,6 +69,16 @@
 	}
 }
 
+// attrValue returns the text of an attribute of a log event, or "".
+func attrValue(e state.LogEvent, key string) string {
+	for _, attr := range e.Attrs {
+		if attr.Key == key {
+			return attr.Value.String()
+		}
+	}
+	return ""
+}
+
 // increment formats the name and labels of a counter and increments it.
 func (m *managedMetrics) increment(format string, values ...any) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(format, values...)).Inc()
