Return later from targets that all nodes fill, and learn latency where slots are free

Cause: after a start of all nodes, the assumed counts were taken for old ones, so that their requests counted as ended. A refused caller returned within a few status periods, into the same load.

--- a/pkg/core/dispatch/intime.go
+++ b/pkg/core/dispatch/intime.go
@@ -41,10 +41,10 @@
 	f.value = max(sorted[int(latencyQuantile*float64(len(sorted)))], 0)
 }
 
-// countFirstEvent learns from the first event of an attempt that began when the answer had
-// not begun.
+// countFirstEvent learns from the first event of an attempt at a target that has free slots.
+// At a full one the request may have waited for a slot.
 func (s *System) countFirstEvent(now time.Duration, active *activeRequest) {
-	if active.target.engine != nil {
+	if t := active.target; t.engine != nil && t.inFlight() < t.capacity() {
 		active.pool.fixedLatency.add(now - active.req.SentAt - active.predicted)
 	}
 }
--- a/pkg/core/dispatch/queue.go
+++ b/pkg/core/dispatch/queue.go
@@ -53,7 +53,7 @@
 	}
 	expected := s.expectedWait(now, pool, len(pool.queue)+1)
 	if expected > maxExpectedWait(active.req) {
-		s.refuse(now, active.req, overloaded().WithRetryAfter(s.retryAfter(active, now, expected)), out, s.overloadAttrs(now, active, expected)...)
+		s.refuse(now, active.req, overloaded().WithRetryAfter(s.overloadRetryAfter(active, now, expected)), out, s.overloadAttrs(now, active, expected)...)
 		return
 	}
 	active.req.Phase = state.RequestQueued
@@ -120,6 +120,19 @@
 	return min(jittered, (active.req.Deadline-now)/3)
 }
 
+// overloadRetryAfter returns the Retry-After time of a request that finds no room.
+//
+// Load pattern: many nodes refuse the requests that exceed the room of all targets for some
+// seconds. Their answers are late in any case, and callers return once or twice. If they
+// return within a few status periods, the same load refuses them again; room changes in the
+// time in which streams end.
+func (s *System) overloadRetryAfter(active *activeRequest, now, expected time.Duration) time.Duration {
+	if s.hasRelayedCounts() && active.pool.key.model != "" {
+		expected = max(expected, active.pool.residence())
+	}
+	return s.retryAfter(active, now, expected)
+}
+
 // placeQueued starts attempts for queued requests, most urgent first, and refuses
 // the rest if they have waited too long or their pool has no available target.
 func (s *System) placeQueued(now time.Duration, out *state.Outbox) {
@@ -133,7 +146,7 @@
 			}
 			if s.isWaitUseless(now, active) {
 				expected := s.expectedWait(now, pool, len(pool.queue))
-				s.refuse(now, active.req, overloaded().WithRetryAfter(s.retryAfter(active, now, max(expected, minRetryAfter))), out, s.overloadAttrs(now, active, expected)...)
+				s.refuse(now, active.req, overloaded().WithRetryAfter(s.overloadRetryAfter(active, now, max(expected, minRetryAfter))), out, s.overloadAttrs(now, active, expected)...)
 			}
 		}
 	}
--- a/pkg/core/dispatch/stalecounts.go
+++ b/pkg/core/dispatch/stalecounts.go
@@ -13,9 +13,6 @@
 	// relayTime is the mean age of a peer's count when it arrives through two hubs: it
 	// waits for half a status period at the peer, and at each hub.
 	relayTime = 3 * state.PeerStatusPeriod / 2
-	// maxCountAge bounds the age of counts. Requests have ended within this time, so that
-	// older counts say nothing about a target.
-	maxCountAge = 2 * time.Second
 	// maxSilence is the time without a status of any peer after which the last counts are no
 	// longer used. It covers the loss of a few messages.
 	maxSilence = 5 * state.PeerStatusPeriod
@@ -44,11 +41,18 @@
 // as in installations without a full mesh.
 func (s *System) hasRelayedCounts() bool { return s.managed.Nodes.Len() > state.MaxFullMeshNodes }
 
-// countAge returns the mean age of the counts of peers.
+// countAge returns the mean age of the counts of peers. Assumed counts are of this moment and
+// get the least age.
 func (s *System) countAge(now time.Duration) time.Duration {
-	return min(now-s.peerStatusAt+relayTime, maxCountAge)
+	if s.assumesPeerLoads(now) {
+		return relayTime
+	}
+	return now - s.peerStatusAt + relayTime
 }
 
+// assumesPeerLoads reports whether the last counts of peers are too old to be used.
+func (s *System) assumesPeerLoads(now time.Duration) bool { return now-s.peerStatusAt > maxSilence }
+
 // assumePeerLoads sets the loads of other nodes on the targets of a pool while no peer reports
 // any: each node is assumed to have as many requests in flight as this one, spread over all
 // targets.
@@ -57,7 +61,7 @@
 // nodes are linked again, for a second or so, each of them finds all targets idle, and
 // together they send three times as many requests as there are slots.
 func (s *System) assumePeerLoads(now time.Duration, pool *targetPool) {
-	if now-s.peerStatusAt <= maxSilence || len(pool.targets) == 0 {
+	if !s.assumesPeerLoads(now) || len(pool.targets) == 0 {
 		return
 	}
 	own := 0
