Bound the offered load that a node assumes, and wait for complete counts

The first counts after a start of all nodes are those of a few nodes; 237 requests were sent within 100 ms when they came. Change: the ratio has a prior and a bound of 3; counts are used once they have come for 0.5 s; the wait is predicted by the same estimate of the room that admits requests.

--- a/pkg/core/dispatch/dispatch.go
+++ b/pkg/core/dispatch/dispatch.go
@@ -74,8 +74,9 @@
 	// peerLoadsChanged is set while the reports of peers are newer than the loads of the
 	// targets that follow from them.
 	peerLoadsChanged bool
-	// peerStatusAt is when a peer last reported its loads.
-	peerStatusAt time.Duration
+	// peerStatusAt is when a peer last reported its loads, and peerStatusSince since when such
+	// reports have come without a gap of maxSilence.
+	peerStatusAt, peerStatusSince time.Duration
 	// pickOnRelayed chooses a target where counts of peers are relayed.
 	pickOnRelayed func(now time.Duration, active *activeRequest) *target
 	// changedNodes collects the changes of the registered nodes, of which nodesVersion
@@ -121,6 +122,9 @@
 		}
 	case state.PeerMessage:
 		if in.Message.PeerStatus != nil {
+			if now-s.peerStatusAt > maxSilence {
+				s.peerStatusSince = now
+			}
 			s.peerLoadsChanged, s.peerStatusAt = true, now
 			s.placeQueued(now, out)
 		}
--- a/pkg/core/dispatch/dispatch_test.go
+++ b/pkg/core/dispatch/dispatch_test.go
@@ -479,7 +479,7 @@
 		loads = append(loads, state.TargetLoad{Target: state.HostID(fmt.Sprintf("g%d", i)), Running: 10 + i%5})
 	}
 	r.tables.Managed.PeerLoads["n2"] = loads
-	r.step(state.PeerMessage{Message: state.Message{PeerStatus: &state.PeerStatus{}}})
+	r.receiveStatuses()
 	active := &activeRequest{pool: r.system.pools[poolKey{engineService, modelName}], req: &state.Request{Arrival: state.RequestArrived{Routed: &state.RoutedRequest{PromptTokens: 1000}}}}
 	picks := map[state.HostID]int{}
 	for range draws {
@@ -548,7 +548,7 @@
 			loads = append(loads, state.TargetLoad{Target: state.HostID(fmt.Sprintf("g%d", i)), Running: running})
 		}
 		r.tables.Managed.PeerLoads["n2"] = loads
-		r.step(state.PeerMessage{Message: state.Message{PeerStatus: &state.PeerStatus{}}})
+		r.receiveStatuses()
 		active := &activeRequest{pool: r.system.pools[poolKey{engineService, modelName}], req: &state.Request{Arrival: state.RequestArrived{Routed: &state.RoutedRequest{PromptTokens: 1000}}}}
 		stayed := 0
 		for range draws {
--- a/pkg/core/dispatch/intime.go
+++ b/pkg/core/dispatch/intime.go
@@ -13,6 +13,10 @@
 	latencySamples    = 32
 	minLatencySamples = 8
 	latencyQuantile   = 0.25
+	// ratePrior is added to the rates of arrivals and admissions, in requests per second.
+	ratePrior = 1.0
+	// maxOfferedRatio bounds the overload that is assumed. Callers return once or twice.
+	maxOfferedRatio = 3.0
 	// leastAdmittedPart is the part of the mean chance of admission that a request of the
 	// least urgent class keeps.
 	leastAdmittedPart = 0.5
@@ -91,17 +95,17 @@
 
 // offeredRatio returns how many requests arrive for each one that is admitted. Those in
 // flight, from which the rate of all nodes is derived, are the admitted ones only.
+//
+// A node sees a few requests a second. Without ratePrior, a node that had admitted none for a
+// few seconds would take the load for a hundred times what it is, and admit none further.
 func (p *targetPool) offeredRatio(now time.Duration) float64 {
-	total := 0.0
+	total := ratePrior
 	for _, rate := range p.classes.arrived {
 		rate.decay(now)
 		total += rate.perSecond
 	}
 	p.classes.admitted.decay(now)
-	if p.classes.admitted.perSecond <= 0 {
-		return 1
-	}
-	return max(total/p.classes.admitted.perSecond, 1)
+	return min(max(total/(p.classes.admitted.perSecond+ratePrior), 1), maxOfferedRatio)
 }
 
 // admittedPart returns the chance with which a request of a priority is admitted if there is
--- a/pkg/core/dispatch/queue.go
+++ b/pkg/core/dispatch/queue.go
@@ -51,7 +51,7 @@
 			"no target is available for this request; send it again").WithRetryAfter(s.retryAfter(active, now, noTargetRetryAfter)), out)
 		return
 	}
-	expected := s.expectedWait(now, pool, len(pool.queue)+1)
+	expected := s.expectedWait(now, active, len(pool.queue)+1)
 	if expected > maxExpectedWait(active.req) {
 		s.refuse(now, active.req, overloaded().WithRetryAfter(s.overloadRetryAfter(active, now, expected)), out, s.overloadAttrs(now, active, expected)...)
 		return
@@ -78,6 +78,10 @@
 		slog.Duration("expected", expected), slog.Int("waiting", len(pool.queue)), slog.Int("targets", len(pool.targets)),
 		slog.Int("in_flight", inFlight), slog.Int("slots", slots),
 	}
+	if s.hasRelayedCounts() {
+		a := s.admission(now, active)
+		attrs = append(attrs, slog.Float64("placed", a.placed), slog.Float64("arrivals", a.arrivals), slog.Duration("fixed_latency", pool.fixedLatency.value))
+	}
 	for _, reason := range state.SortedKeys(excluded) {
 		attrs = append(attrs, slog.Int("excluded_"+string(reason), excluded[reason]))
 	}
@@ -98,10 +102,11 @@
 // expectedWait returns the time until a target becomes free for the request at a
 // position in the queue of a pool, at the recent rate of ended attempts of this
 // node, and not before boundedWait. That rate counts as no wait if none has ended.
-func (s *System) expectedWait(now time.Duration, pool *targetPool, position int) time.Duration {
+func (s *System) expectedWait(now time.Duration, active *activeRequest, position int) time.Duration {
+	pool := active.pool
 	bounded := s.boundedWait(now, pool, position)
 	if s.hasRelayedCounts() {
-		return max(bounded, s.roomWait(now, pool, position))
+		return max(bounded, s.roomWait(now, active))
 	}
 	pool.attemptEndRate.decay(now)
 	if pool.attemptEndRate.perSecond <= 0 {
@@ -145,7 +150,7 @@
 				continue
 			}
 			if s.isWaitUseless(now, active) {
-				expected := s.expectedWait(now, pool, len(pool.queue))
+				expected := s.expectedWait(now, active, len(pool.queue))
 				s.refuse(now, active.req, overloaded().WithRetryAfter(s.overloadRetryAfter(active, now, max(expected, minRetryAfter))), out, s.overloadAttrs(now, active, expected)...)
 			}
 		}
--- a/pkg/core/dispatch/rig_test.go
+++ b/pkg/core/dispatch/rig_test.go
@@ -110,6 +110,14 @@
 	}
 }
 
+// receiveStatuses feeds the status of a peer each period, until the node uses the counts.
+func (r *rig) receiveStatuses() {
+	for range maxSilence/state.PeerStatusPeriod + 1 {
+		r.now += state.PeerStatusPeriod
+		r.step(state.PeerMessage{Message: state.Message{PeerStatus: &state.PeerStatus{}}})
+	}
+}
+
 // sendRequest feeds a request for a path to the node and returns its id.
 func (r *rig) sendRequest(path string, promptTokens int) state.RequestID {
 	return r.sendRequestWithParts(path, promptTokens)
--- a/pkg/core/dispatch/stalecounts.go
+++ b/pkg/core/dispatch/stalecounts.go
@@ -50,8 +50,12 @@
 	return now - s.peerStatusAt + relayTime
 }
 
-// assumesPeerLoads reports whether the last counts of peers are too old to be used.
-func (s *System) assumesPeerLoads(now time.Duration) bool { return now-s.peerStatusAt > maxSilence }
+// assumesPeerLoads reports whether the counts of peers cannot be used: there are none, the last
+// ones are too old, or they have come for a short time only. The first counts after a start of
+// all nodes are those of the few nodes that are linked already.
+func (s *System) assumesPeerLoads(now time.Duration) bool {
+	return now-s.peerStatusAt > maxSilence || now-s.peerStatusSince < maxSilence
+}
 
 // assumePeerLoads sets the loads of other nodes on the targets of a pool while no peer reports
 // any: each node is assumed to have as many requests in flight as this one, spread over all
@@ -177,32 +181,47 @@
 // Dahlin, "Interpreting stale load information", IEEE TPDS 11(10), 2000. With no unseen
 // requests the best target is drawn, with many of them all targets alike.
 func (s *System) pickOnRelayedCounts(now time.Duration, active *activeRequest) *target {
-	s.assumePeerLoads(now, active.pool)
-	arrivals := max(s.unseenArrivals(now, active.pool)*active.pool.offeredRatio(now), 1)
-	options := s.options(now, active, arrivals)
-	if len(options) == 0 {
-		return nil
-	}
-	if local, part := s.localOptions(options, arrivals); local != nil {
-		options, arrivals = local, part
-	}
-	s.limitToObjective(now, active, options)
-	shares, _ := fillShares(options, arrivals)
-	placed := sum(shares)
-	if placed == 0 {
-		return nil
-	}
+	a := s.admission(now, active)
 	// A further attempt is not held back, since its request has waited already.
-	if active.attempts == 0 && s.tables.Rand.Float64() >= active.pool.admittedPart(now, active.priority, placed/arrivals) {
+	if a.placed == 0 || active.attempts == 0 && s.tables.Rand.Float64() >= active.pool.admittedPart(now, active.priority, a.part()) {
 		return nil
 	}
-	drawn := s.tables.Rand.Float64() * placed
-	for i := range options {
-		if drawn -= shares[i]; drawn < 0 {
-			return options[i].target
+	drawn := s.tables.Rand.Float64() * a.placed
+	for i := range a.options {
+		if drawn -= a.shares[i]; drawn < 0 {
+			return a.options[i].target
 		}
 	}
-	return options[len(options)-1].target
+	return a.options[len(a.options)-1].target
+}
+
+// admission is what a node knows of the room for a request.
+type admission struct {
+	// options holds the targets that may get it, and shares the unseen requests that each of
+	// them takes, placed in sum, of all arrivals.
+	options          []option
+	shares           []float64
+	placed, arrivals float64
+}
+
+// part returns the part of the arrivals for which there is room.
+func (a *admission) part() float64 { return a.placed / a.arrivals }
+
+// admission distributes the unseen requests over the targets that may get a request.
+func (s *System) admission(now time.Duration, active *activeRequest) admission {
+	s.assumePeerLoads(now, active.pool)
+	a := admission{arrivals: max(s.unseenArrivals(now, active.pool)*active.pool.offeredRatio(now), 1)}
+	a.options = s.options(now, active, a.arrivals)
+	if len(a.options) == 0 {
+		return a
+	}
+	if local, part := s.localOptions(a.options, a.arrivals); local != nil {
+		a.options, a.arrivals = local, part
+	}
+	s.limitToObjective(now, active, a.options)
+	a.shares, _ = fillShares(a.options, a.arrivals)
+	a.placed = sum(a.shares)
+	return a
 }
 
 // localOptions returns the targets of the node's own data centre, and the requests of its
@@ -282,27 +301,22 @@
 	return total
 }
 
-// roomWait returns the expected time until a request at a position in the queue of a pool
-// finds room. While there is room for a part of the requests, each of them is drawn anew with
-// each status of the peers. Otherwise the requests beyond the slots have to end first.
+// roomWait returns the expected time until a request finds room. While there is room for a
+// part of the requests, each of them is drawn anew with each status of the peers. Otherwise the
+// requests beyond the slots have to end first.
 //
 // Load pattern: a node with 5 requests a second sees an attempt end each 200 ms, and all
 // nodes together see 400 in a second. By its own attempts alone the node refuses requests
 // for which there is room.
-func (s *System) roomWait(now time.Duration, pool *targetPool, position int) time.Duration {
-	free, excess, inFlight := 0.0, 0, 0
-	endedPart := s.endedPart(now, pool)
-	for _, t := range pool.targets {
-		n := t.inFlight()
-		inFlight += n
-		excess += n - t.capacity()
-		if !t.usable || t.suspect {
-			continue
-		}
-		free += max(float64(t.capacity())-(1-endedPart)*float64(n), 0)
+func (s *System) roomWait(now time.Duration, active *activeRequest) time.Duration {
+	a := s.admission(now, active)
+	if a.placed > 0 {
+		return time.Duration(float64(state.PeerStatusPeriod) / active.pool.admittedPart(now, active.priority, a.part()))
 	}
-	if free >= 1 {
-		return time.Duration(float64(position) * max(s.unseenArrivals(now, pool)/free, 1) * float64(state.PeerStatusPeriod))
+	excess, inFlight := 0, 0
+	for _, t := range active.pool.targets {
+		inFlight += t.inFlight()
+		excess += t.inFlight() - t.capacity()
 	}
-	return time.Duration(float64(max(excess, 0)+position) / float64(max(inFlight, 1)) * float64(pool.residence()))
+	return time.Duration(float64(max(excess, 0)+1) / float64(max(inFlight, 1)) * float64(active.pool.residence()))
 }
