Add the command check-platform

Cause: operators had no way to check a configuration of the platform before they send it.

It is a verb of its own and not a form of `check`: the two kinds of file differ in format, owner and flags, and a `check` that guessed the kind from the content would report a damaged file of one kind as one of the other. Only errors lead to exit code 3.

--- a/pkg/command/command.go
+++ b/pkg/command/command.go
@@ -25,7 +25,8 @@
 	ExitFailure = 1
 	// ExitUsage means wrong arguments or flags, or a missing operator key.
 	ExitUsage = 2
-	// ExitInvalid means that declarations have faults. Nothing was changed.
+	// ExitInvalid means that declarations or a configuration of the platform have
+	// faults. Nothing was changed.
 	ExitInvalid = 3
 	// ExitRefused means that the server refused the request. Nothing was changed.
 	ExitRefused = 4
@@ -89,7 +90,7 @@
 // All returns the subcommands of the operator command line.
 func All() []*Command {
 	return []*Command{
-		newDev(), newCheck(), newPlan(), newApply(), newPreset(), newOut(), newIn(), newForget(),
+		newDev(), newCheck(), newCheckPlatform(), newPlan(), newApply(), newPreset(), newOut(), newIn(), newForget(),
 		newStatus(), newOrder(), newExplain(), newAudit(), newExport(), newBench(), newHash(), newKey(),
 	}
 }
@@ -179,12 +180,13 @@
 func exitCode(err error) int {
 	var problems inifile.Problems
 	var invalid *operator.InvalidDeclarationsError
+	var faults *faultsError
 	var notInForce *notInForceError
 	var apiErr *apierror.Error
 	switch {
 	case err == nil:
 		return ExitOK
-	case errors.As(err, &problems), errors.As(err, &invalid):
+	case errors.As(err, &problems), errors.As(err, &invalid), errors.As(err, &faults):
 		return ExitInvalid
 	case errors.As(err, &notInForce):
 		return ExitNotInForce
