Count the requests of all nodes once at a leaf that has changed its hub

Cause: a leaf kept the sums of its earlier hub for 3 s beside those of the new one, so that each request counted twice. Change: the sums of the last hub that reported replace those of others.

--- a/pkg/core/inventory/inventory_test.go
+++ b/pkg/core/inventory/inventory_test.go
@@ -387,6 +387,19 @@
 	g.Expect(toLeaf.ClusterTotals).To(gomega.BeTrue())
 }
 
+// TestLoadsOfTwoHubsCountOnce guards against a leaf that counts each request twice after it has
+// changed its hub, because both have reported the sums over all nodes.
+func TestLoadsOfTwoHubsCountOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	leaf := newRig("n09", 12)
+	totals := state.PeerStatus{ClusterTotals: true, Loads: []state.TargetLoad{{Target: "t", Running: 5}}}
+	leaf.receivePeerStatus("n00", totals)
+	leaf.receivePeerStatus("n01", totals)
+	g.Expect(leaf.managed.PeerLoads).To(gomega.Equal(map[state.NodeID][]state.TargetLoad{"n01": totals.Loads}))
+	leaf.receivePeerStatus("n00", totals)
+	g.Expect(leaf.managed.PeerLoads).To(gomega.Equal(map[state.NodeID][]state.TargetLoad{"n00": totals.Loads}))
+}
+
 // TestOneStalledNodeKeepsNoOtherAway guards against a target that gets no requests of other
 // nodes because one node has lost a connection to it, while streams of others go on there.
 func TestOneStalledNodeKeepsNoOtherAway(t *testing.T) {
--- a/pkg/core/inventory/peers.go
+++ b/pkg/core/inventory/peers.go
@@ -127,6 +127,7 @@
 	loads := status.Loads
 	if status.ClusterTotals {
 		loads = subtractLoads(loads, s.sentLoads)
+		s.dropOtherTotals(from)
 	}
 	s.managed.PeerLoads[from] = loads
 	for _, id := range status.StalledTargets {
@@ -140,6 +141,18 @@
 	s.managed.TrafficStarted = s.managed.TrafficStarted || status.TrafficStarted
 }
 
+// dropOtherTotals removes the loads that other hubs have reported for all nodes. For some
+// seconds after a leaf has changed its hub it has the status of both, and each request would
+// count twice: on one day leaves saw 820 requests in flight at 780 slots, of which about half
+// were there, and refused what the targets had room for.
+func (s *System) dropOtherTotals(from state.NodeID) {
+	for id, status := range s.peerStatuses {
+		if id != from && status.ClusterTotals {
+			delete(s.managed.PeerLoads, id)
+		}
+	}
+}
+
 // sendPeerStatus sends the status of this node to its peers. A hub sends the
 // sums over its leaves to the other hubs, and the sums over all nodes to its
 // leaves.
