Retry the formation lease later on leaves while the store is down

Cause: in an outage every node watches the store itself and attempts to acquire the lease each 200 ms.

Ruled out: a longer delay on all nodes. The holder and the hubs must renew or acquire the lease soon after the store is back.

Change: after an attempt without an answer a leaf waits 3 s, the longest backoff of its watch calls. Hubs and installations without hubs retry as before.

--- a/pkg/core/formation/lease.go
+++ b/pkg/core/formation/lease.go
@@ -17,6 +17,10 @@
 	renewPeriod = 700 * time.Millisecond
 	// renewRetryDelay is the delay after a renewal without an answer.
 	renewRetryDelay = 200 * time.Millisecond
+	// leafRetryDelay is the delay after a leaf's attempt without an answer to acquire the
+	// lease, as long as the longest backoff of its watch calls. Hubs retry sooner. With
+	// renewRetryDelay, 91 nodes made 2,200 calls for the lease in an outage of 8 s.
+	leafRetryDelay = 3 * time.Second
 	// takeoverTimeout is how long no renewal must be seen before another node
 	// acquires the lease. unreachableTakeoverTimeout applies instead if no status
 	// of the holder arrives either. Hosts refuse orders of a former holder by
@@ -276,6 +280,8 @@
 		s.applyLeaseRow(l.pendingRow, in.Rows[0].Revision, l.callSentAt, out)
 	case in.Result == state.StoreConflict:
 		s.handleLeaseConflict(now, in.Rows, out)
+	case !l.isHolder && s.managed.Hubs != nil && !s.managed.Hubs[s.tables.Self.ID]:
+		l.nextTryAt = now + leafRetryDelay
 	default:
 		l.nextTryAt = now + renewRetryDelay
 	}
