Fix what a review of placement and connection limits found

A refused request had no read deadline, so that a caller that stopped could hold it past a planned stop; log lines were written under the lock of all connections; a request could run on a connection that had just been chosen to be closed; refusals shortened the mean residence of requests, so that full targets got more of them; free slots were lost to an estimate; stall times lost the penalties of a target; the server could not close its sending side after a refusal; a prediction outlived the profile of its engine.

--- a/pkg/connlimit/conn.go
+++ b/pkg/connlimit/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -48,6 +49,8 @@
 	headerBytes int
 	headerCost  int64
 	requests    int
+	// evicted is set once the connection was chosen to be closed for others.
+	evicted atomic.Bool
 
 	// deadlineMu guards the write deadline, and whether the server has set it.
 	deadlineMu       sync.Mutex
@@ -101,11 +104,12 @@
 	return c.headerBytes, true
 }
 
-// Write implements net.Conn. A caller that reads nothing for unreadTime loses its connection,
-// since the node holds the rest of its answer.
+// Write implements net.Conn. A caller loses its connection if nothing can be written for
+// unreadTime, since the node holds the rest of its answer. What the kernel takes counts as
+// written.
 func (c *Conn) Write(b []byte) (written int, err error) {
 	for len(b) > 0 && err == nil {
-		if err = c.extendDeadline(); err != nil {
+		if err = c.extendDeadline(len(b)); err != nil {
 			break
 		}
 		var n int
@@ -123,13 +127,14 @@
 	return written, err
 }
 
-// extendDeadline moves the write deadline of the connection, unless the server has set one. It
-// does so once in half of unreadTime, because each move costs more than a small write.
-func (c *Conn) extendDeadline() error {
+// extendDeadline moves the write deadline of the connection before a write of a size, unless
+// the server has set one. For small writes it does so once in half of unreadTime, because each
+// move costs more than such a write.
+func (c *Conn) extendDeadline(size int) error {
 	c.deadlineMu.Lock()
 	defer c.deadlineMu.Unlock()
 	now := time.Now()
-	if c.isServerDeadline || c.deadline.Sub(now) > unreadTime/2 {
+	if c.isServerDeadline || size < writeChunkBytes && c.deadline.Sub(now) > unreadTime/2 {
 		return nil
 	}
 	c.deadline = now.Add(unreadTime)
@@ -158,6 +163,19 @@
 	return c.SetReadDeadline(t)
 }
 
+// Evicted reports whether the connection was chosen to be closed for others. The header of a
+// request may have become complete at the same moment; the request must not run then.
+func (c *Conn) Evicted() bool { return c.evicted.Load() }
+
+// CloseWrite closes the sending side, as the server does after a refusal so that the caller
+// reads it before the connection ends.
+func (c *Conn) CloseWrite() error {
+	if socket, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return socket.CloseWrite()
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.pool.mu.Lock()
--- a/pkg/connlimit/pool.go
+++ b/pkg/connlimit/pool.go
@@ -29,8 +29,8 @@
 	// firstByteTime is how long an ordinary caller may take for the first byte after it has
 	// connected.
 	firstByteTime = 250 * time.Millisecond
-	// evictionShare is the part of the connections that are closed together once the limits
-	// are reached, so that not each new connection sorts all of them.
+	// evictionShare is the part of the connections that may be closed together once the limits
+	// are reached, so that not each of many connections without requests sorts all of them.
 	evictionShare = 16
 	// limitInterval is how often the limit of descriptors is read.
 	limitInterval = time.Second
@@ -179,11 +179,12 @@
 	var victims []victim
 	for _, c := range candidates {
 		isEnough := p.held <= p.limits.MemoryBytes-int64(spare)*connectionBytes && len(p.conns) <= maxConnections-spare
-		// Beyond what is needed now, only callers that hold others up are closed.
+		// Beyond what is needed now, only slow ones are closed.
 		if isEnough || len(victims) > 0 && !c.isSlow(now) && p.held <= p.limits.MemoryBytes && len(p.conns) <= maxConnections {
 			break
 		}
 		p.forget(c)
+		c.evicted.Store(true)
 		victims = append(victims, victim{c, reason})
 	}
 	return victims
@@ -240,24 +241,33 @@
 	}
 }
 
-// countClosed counts a closed connection, and logs at most one line in logInterval, so that a
-// crowd cannot fill the log.
+// countClosed counts a closed connection, and logs at most one line in logInterval, so that
+// many closed connections cannot fill the log.
 func (p *Pool) countClosed(reason Reason) {
 	p.meter.ConnectionClosed(p.limits.Listener, reason)
+	if attrs := p.takeClosed(reason); attrs != nil {
+		event.Log(context.Background(), p.log, event.ConnectionsClosed, attrs...)
+	}
+}
+
+// takeClosed adds a closed connection, and returns the attributes of a log line if one is due.
+func (p *Pool) takeClosed(reason Reason) []slog.Attr {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed[reason]++
-	if now := time.Now(); now.Sub(p.loggedAt) >= logInterval {
-		attrs := []slog.Attr{slog.String("listener", p.limits.Listener), slog.Int("connections", len(p.conns)), slog.Int64("held_bytes", p.held)}
-		for _, reason := range []Reason{HeaderTooLarge, MemoryFull, TooMany, AnswerUnread} {
-			if n := p.closed[reason]; n > 0 {
-				attrs = append(attrs, slog.Int(string(reason), n))
-			}
+	now := time.Now()
+	if now.Sub(p.loggedAt) < logInterval {
+		return nil
+	}
+	attrs := []slog.Attr{slog.String("listener", p.limits.Listener), slog.Int("connections", len(p.conns)), slog.Int64("held_bytes", p.held)}
+	for _, reason := range []Reason{HeaderTooLarge, MemoryFull, TooMany, AnswerUnread} {
+		if n := p.closed[reason]; n > 0 {
+			attrs = append(attrs, slog.Int(string(reason), n))
 		}
-		event.Log(context.Background(), p.log, event.ConnectionsClosed, attrs...)
-		p.loggedAt = now
-		clear(p.closed)
 	}
+	p.loggedAt = now
+	clear(p.closed)
+	return attrs
 }
 
 // compareEviction orders connections by how soon they are closed for others: request headers
--- a/pkg/connlimit/pool_test.go
+++ b/pkg/connlimit/pool_test.go
@@ -225,3 +225,28 @@
 		}
 	})
 }
+
+// TestEvictedConnectionIsKnown guards against a request that runs although its connection was
+// chosen to be closed at the moment at which its header became complete.
+func TestEvictedConnectionIsKnown(t *testing.T) {
+	g := gomega.NewWithT(t)
+	pool := New(Limits{MemoryBytes: connectionBytes, DescriptorShare: 1, HeaderBytes: func() int { return 1 << 10 }},
+		&countingMeter{counts: map[Reason]int{}}, slog.New(slog.DiscardHandler))
+	near, far := net.Pipe()
+	t.Cleanup(func() { _ = far.Close() })
+	first := pool.add(near)
+	g.Expect(first.Evicted()).To(gomega.BeFalse())
+	other, otherFar := net.Pipe()
+	t.Cleanup(func() { _ = otherFar.Close() })
+	second := pool.add(other)
+	g.Expect(first.Evicted() || second.Evicted()).To(gomega.BeTrue())
+}
+
+// TestRefusalEndsAtOnce guards against a refused caller that learns half a second late that its
+// connection ends, because the server cannot close its sending side.
+func TestRefusalEndsAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c, isConn := any(&Conn{}).(interface{ CloseWrite() error })
+	g.Expect(isConn).To(gomega.BeTrue())
+	g.Expect(c).NotTo(gomega.BeNil())
+}
--- a/pkg/core/dispatch/attempt.go
+++ b/pkg/core/dispatch/attempt.go
@@ -60,7 +60,7 @@
 	switch ev.Stage {
 	case state.AttemptFirstByte:
 		if active.firstEventAt == 0 {
-			active.firstEventAt = now
+			active.firstEventAt, active.firstEventAttempt = now, active.attempts
 			s.countFirstEvent(now, active)
 		}
 		s.dropFallbacks(now, active, out)
@@ -245,6 +245,8 @@
 	s.recordTargetHealth(now, t, ev)
 	s.releaseTarget(now, active)
 	if ev.Failure == state.FailureNone {
+		// A refusal or a lost connection says nothing of how long requests stay.
+		active.pool.countResidence(now - req.SentAt)
 		s.dropFallbacks(now, active, out)
 		s.answer(now, req, ev.AnswerBuffered, ev.LongestGap, out)
 		s.placeQueued(now, out)
--- a/pkg/core/dispatch/dispatch.go
+++ b/pkg/core/dispatch/dispatch.go
@@ -44,6 +44,8 @@
 	// firstSentAt is when the first attempt was started, and predicted the time to the
 	// first event that was predicted for the last one.
 	firstSentAt, predicted time.Duration
+	// firstEventAttempt is the attempt that delivered the first event; 0 before that.
+	firstEventAttempt int
 }
 
 // hasBegun reports whether the caller has received a part of the answer.
--- a/pkg/core/dispatch/intime.go
+++ b/pkg/core/dispatch/intime.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -69,7 +70,7 @@
 	for i := range options {
 		o := &options[i]
 		inTime := float64(level-o.cost) / float64(o.slope)
-		unloaded := float64(o.target.capacity()/2 - o.target.inFlight())
+		unloaded := float64((o.target.capacity()+1)/2 - o.target.inFlight())
 		o.room = min(o.room, max(inTime, unloaded, 0))
 	}
 }
@@ -100,7 +101,8 @@
 // few seconds would take the load for a hundred times what it is, and admit none further.
 func (p *targetPool) offeredRatio(now time.Duration) float64 {
 	total := ratePrior
-	for _, rate := range p.classes.arrived {
+	for _, priority := range slices.Sorted(maps.Keys(p.classes.arrived)) {
+		rate := p.classes.arrived[priority]
 		rate.decay(now)
 		total += rate.perSecond
 	}
@@ -110,10 +112,11 @@
 
 // admittedPart returns the chance with which a request of a priority is admitted if there is
 // room for a part of all requests. The room goes to the more urgent ones first, but none has
-// less than leastAdmittedPart of the mean chance, so that no class is shut out.
+// less than leastAdmittedPart of the mean chance, so that no class starves.
 func (p *targetPool) admittedPart(now time.Duration, priority int, part float64) float64 {
 	total, moreUrgent, equal := 0.0, 0.0, 0.0
-	for other, rate := range p.classes.arrived {
+	for _, other := range slices.Sorted(maps.Keys(p.classes.arrived)) {
+		rate := p.classes.arrived[other]
 		rate.decay(now)
 		total += rate.perSecond
 		switch {
--- a/pkg/core/dispatch/lateness.go
+++ b/pkg/core/dispatch/lateness.go
@@ -27,13 +27,20 @@
 // another remedy: more room, a better choice of targets, or less load on one target.
 func latenessCause(req *state.Request, active *activeRequest, firstEventAt, longestGap time.Duration) lateness {
 	objective := req.Route.LatencyObjective
+	attempt := active.firstEventAttempt
+	if attempt == 0 {
+		// An answer that is no stream is that of the last attempt.
+		attempt = active.attempts
+	}
 	switch {
+	case objective <= 0:
+		return ""
 	case firstEventAt-req.ArrivedAt <= objective:
 		if req.Route.MaxEventGap > 0 && longestGap > req.Route.MaxEventGap {
 			return lateEvent
 		}
 		return ""
-	case active.attempts > 1:
+	case attempt > 1:
 		return lateAfterFailure
 	case active.firstSentAt-req.ArrivedAt > max(objective-active.predicted, 0):
 		return lateInQueue
--- a/pkg/core/dispatch/place.go
+++ b/pkg/core/dispatch/place.go
@@ -68,7 +68,7 @@
 	}
 	t := pick(now, active)
 	if t == nil {
-		if s.hasRelayedCounts() {
+		if s.hasRelayedCounts() && active.attempts == 0 {
 			active.nextDrawAt = now + state.PeerStatusPeriod
 		}
 		return nil
@@ -228,7 +228,7 @@
 		KeepPrevious: len(active.fallbacks) > 0, EndsWithCaller: true,
 	}
 	if req.Route.Stream {
-		attempt.StallAfter, attempt.FirstEventStallAfter = stallTimeout, 2*predicted+firstEventSlack
+		attempt.StallAfter, attempt.FirstEventStallAfter = stallTimeout, 2*s.cost(now, t, active)+firstEventSlack
 	}
 	out.Add(attempt)
 	if req.Attempt > 1 || now > req.ArrivedAt {
@@ -252,7 +252,6 @@
 	active.target, active.firstEventSeen, active.stalled = nil, false, false
 	delete(t.activeRequests, active.req.Arrival.ID)
 	active.pool.attemptEndRate.add(now)
-	active.pool.countResidence(now - active.req.SentAt)
 	if !t.usable && len(t.activeRequests) == 0 && s.targets[t.id] == t {
 		delete(s.targets, t.id)
 		delete(s.managed.Loads, t.id)
--- a/pkg/core/dispatch/replay_test.go
+++ b/pkg/core/dispatch/replay_test.go
@@ -282,7 +282,7 @@
 	}
 }
 
-// anyTarget is the plainest rule: a random target that is not full.
+// anyTarget is the simplest baseline: a random target that is not full.
 func anyTarget(s *System) func(time.Duration, *activeRequest) *target {
 	return func(now time.Duration, active *activeRequest) *target {
 		var eligible []*target
--- a/pkg/core/dispatch/stalecounts.go
+++ b/pkg/core/dispatch/stalecounts.go
@@ -21,6 +21,8 @@
 	residenceWeight = 1.0 / 16
 	// defaultResidence is the residence time of a stream of which nothing is known.
 	defaultResidence = time.Second
+	// leastChance bounds the expected number of status periods until a request is admitted.
+	leastChance = 0.001
 	// firstEventPasses is the number of passes until the first event of a request, without
 	// the step of its prefill: half of the current one and a whole one.
 	firstEventPasses = 1.5
@@ -135,7 +137,7 @@
 		ended := s.endedPart(now, active.pool)
 		for i := range options {
 			t := options[i].target
-			options[i].room = max(float64(t.capacity())-spread-(1-ended)*float64(t.inFlight()), 0)
+			options[i].room = max(options[i].room, float64(t.capacity())-spread-(1-ended)*float64(t.inFlight()))
 		}
 	}
 	return slices.DeleteFunc(options, func(o option) bool { return o.room < 1 })
@@ -192,7 +194,8 @@
 			return a.options[i].target
 		}
 	}
-	return a.options[len(a.options)-1].target
+	// Rounding may leave a rest.
+	return a.options[slices.IndexFunc(a.shares, func(share float64) bool { return share > 0 })].target
 }
 
 // admission is what a node knows of the room for a request.
@@ -215,10 +218,10 @@
 	if len(a.options) == 0 {
 		return a
 	}
+	s.limitToObjective(now, active, a.options)
 	if local, part := s.localOptions(a.options, a.arrivals); local != nil {
 		a.options, a.arrivals = local, part
 	}
-	s.limitToObjective(now, active, a.options)
 	a.shares, _ = fillShares(a.options, a.arrivals)
 	a.placed = sum(a.shares)
 	return a
@@ -311,7 +314,7 @@
 func (s *System) roomWait(now time.Duration, active *activeRequest) time.Duration {
 	a := s.admission(now, active)
 	if a.placed > 0 {
-		return time.Duration(float64(state.PeerStatusPeriod) / active.pool.admittedPart(now, active.priority, a.part()))
+		return time.Duration(float64(state.PeerStatusPeriod) / max(active.pool.admittedPart(now, active.priority, a.part()), leastChance))
 	}
 	excess, inFlight := 0, 0
 	for _, t := range active.pool.targets {
--- a/pkg/core/dispatch/stalecounts_test.go
+++ b/pkg/core/dispatch/stalecounts_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/apricotgrade/apricotgrade/pkg/apierror"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 )
 
@@ -86,10 +87,13 @@
 	g.Expect(f.value).To(gomega.Equal(40 * time.Millisecond))
 }
 
+// relayedNodes is the number of nodes of an installation without a full mesh.
+const relayedNodes = 30
+
 // newRelayedRig returns a rig of a node in an installation without a full mesh.
-func newRelayedRig(t *testing.T, groups, nodes int) *rig {
+func newRelayedRig(t *testing.T, groups int) *rig {
 	r := newRig(t, groups)
-	for i := range nodes {
+	for i := range relayedNodes {
 		r.tables.Managed.Nodes.Put(state.NodeID(string(rune('a'+i%26))+string(rune('a'+i/26))), &state.RegisteredNode{Entry: state.NodeEntry{DataCentre: "a"}})
 	}
 	r.step(state.Tick{})
@@ -101,8 +105,7 @@
 // these have room for.
 func TestNodeWithoutReportsAssumesItsOwnLoadElsewhere(t *testing.T) {
 	g := gomega.NewWithT(t)
-	const groups, nodes = 3, 30
-	r := newRelayedRig(t, groups, nodes)
+	r := newRelayedRig(t, 3)
 	r.now += 10 * time.Second
 	for range 40 {
 		r.sendRequest("/a/", 10)
@@ -133,7 +136,7 @@
 // objective has passed, while targets have much room.
 func TestLateRequestIsServedWhereThereIsRoom(t *testing.T) {
 	g := gomega.NewWithT(t)
-	r := newRelayedRig(t, 2, 30)
+	r := newRelayedRig(t, 2)
 	r.step(state.PeerMessage{From: "aa", Message: state.Message{PeerStatus: &state.PeerStatus{}}})
 	pool := r.system.pools[poolKey{engineService, modelName}]
 	for range latencySamples {
@@ -141,3 +144,61 @@
 	}
 	g.Expect(r.lastAttempt(r.sendRequest("/a/", 10))).NotTo(gomega.BeNil())
 }
+
+// TestRefusalsDoNotShortenResidence guards against full targets that refuse requests at once,
+// so that all streams there seem to end within milliseconds and more requests are sent.
+func TestRefusalsDoNotShortenResidence(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRelayedRig(t, 2)
+	r.receiveStatuses()
+	pool := r.system.pools[poolKey{engineService, modelName}]
+	before := pool.residence()
+	refused := 0
+	for range 20 {
+		id := r.sendRequest("/a/", 10)
+		for r.lastAttempt(id) != nil && r.replyTo(id) == nil && refused < 20 {
+			r.now += 2 * time.Millisecond
+			r.endAttempt(id, state.FailureTargetRefused, apierror.NotRun)
+			refused++
+		}
+		r.receiveStatuses()
+	}
+	g.Expect(refused).To(gomega.BeNumerically(">", 5))
+	g.Expect(pool.residence()).To(gomega.Equal(before))
+}
+
+// TestFreeSlotIsUsedUnderOverload guards against a request that is refused while a slot is free,
+// because the room is estimated from slots that may become free.
+func TestFreeSlotIsUsedUnderOverload(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRelayedRig(t, 1)
+	r.tables.Managed.PlatformConfig.Services[0].Engine.Slots = 3
+	r.tables.Managed.TargetInputsVersion++
+	r.tables.Managed.PeerLoads["aa"] = []state.TargetLoad{{Target: "g0", Running: 2}}
+	r.receiveStatuses()
+	pool := r.system.pools[poolKey{engineService, modelName}]
+	pool.classes = arrivedRates(r.now, 5).classes
+	active := &activeRequest{pool: pool, objectiveEnd: r.now + time.Second, req: &state.Request{Arrival: state.RequestArrived{Routed: &state.RoutedRequest{PromptTokens: 10}}}}
+	a := r.system.admission(r.now, active)
+	g.Expect(a.placed).To(gomega.BeNumerically(">=", 1))
+}
+
+// TestNewEngineProfileForgetsLatency guards against a prediction by what was learned with
+// another engine.
+func TestNewEngineProfileForgetsLatency(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRelayedRig(t, 1)
+	pool := r.system.pools[poolKey{engineService, modelName}]
+	pool.meanResidence = time.Second
+	setStepTime := func(version uint64, step time.Duration) {
+		config := platformConfig(version)
+		config.Services[0].Engine.StepTime = step
+		r.tables.Managed.PlatformConfig = config
+		r.tables.Managed.TargetInputsVersion++
+		r.step(state.Tick{})
+	}
+	setStepTime(2, 6*time.Millisecond)
+	g.Expect(pool.meanResidence).To(gomega.Equal(time.Second))
+	setStepTime(3, 9*time.Millisecond)
+	g.Expect(pool.meanResidence).To(gomega.BeZero())
+}
--- a/pkg/core/dispatch/target.go
+++ b/pkg/core/dispatch/target.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"reflect"
 	"slices"
 	"time"
 
@@ -71,8 +72,10 @@
 	attemptEndRate decayingRate
 	// meanResidence is the mean time of an attempt of this node; 0 before the first end.
 	meanResidence time.Duration
-	fixedLatency  fixedLatency
-	classes       classRates
+	// engine is the profile with which meanResidence and fixedLatency were learned.
+	engine       *state.EngineProfile
+	fixedLatency fixedLatency
+	classes      classRates
 }
 
 // poolKey identifies a pool. The model is empty for a plain service.
@@ -122,6 +125,7 @@
 			t.coldUntil = instance.RevisionSeenAt + instance.ColdRemaining
 		}
 		pool := s.pool(key)
+		pool.setEngine(t.engine)
 		pool.targets = append(pool.targets, t)
 	}
 	for id, t := range s.targets {
@@ -163,6 +167,14 @@
 	return pool
 }
 
+// setEngine sets the profile of the engine, and forgets what was learned with another one.
+func (p *targetPool) setEngine(engine *state.EngineProfile) {
+	if p.engine != engine && p.engine != nil && engine != nil && !reflect.DeepEqual(p.engine, engine) {
+		p.fixedLatency, p.meanResidence = fixedLatency{}, 0
+	}
+	p.engine = engine
+}
+
 func comparePoolKeys(a, b poolKey) int {
 	if a.service != b.service {
 		if a.service < b.service {
--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -85,6 +85,12 @@
 	return next
 }
 
+// setBodyDeadline bounds the time for the body of a request. The errors of connections without
+// deadlines, as in tests, are ignored.
+func setBodyDeadline(w http.ResponseWriter, timeout time.Duration) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout))
+}
+
 func memoryFullRefusal() *apierror.Error {
 	return apierror.New(apierror.KindUnavailable, "memory_full",
 		"this node has no memory for the request now; send the request again", apierror.NotRun).WithRetryAfter(memoryRetryAfter)
@@ -97,9 +103,8 @@
 	if r.ContentLength == 0 {
 		return nil, nil, nil
 	}
-	// The errors of connections without deadlines, as in tests, are ignored.
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(timeout))
+	setBodyDeadline(w, timeout)
 	body, err := readAll(r.Body, r.ContentLength, limit, held, memory.BodyPurpose)
 	switch {
 	case errors.Is(err, errTooLong):
@@ -130,7 +135,7 @@
 }
 
 // refuseUnread writes the refusal of a request whose body could not be read. It discards the
-// rest of the body within the deadline of readBody: if the connection were closed at once,
+// rest of the body within the deadline of setBodyDeadline: if the connection were closed at once,
 // callers that send on would lose the answer. Whatever stays unread must not be taken for
 // the next request.
 func refuseUnread(w http.ResponseWriter, r *http.Request, limit int64, refusal *apierror.Error, write func(*apierror.Error)) {
--- a/pkg/gateway/callerconn.go
+++ b/pkg/gateway/callerconn.go
@@ -24,7 +24,13 @@
 // hasCallerLeft reports whether the caller has closed its connection. It asks the kernel: the
 // HTTP server only learns of a close from a read in the background, which in a process that
 // was paused or is short of processor time comes after the request was sent to a target.
+//
+// A connection that the node itself has chosen to close, just before the header of the request
+// was complete, counts as well.
 func (e *exchange) hasCallerLeft() bool {
+	if c, ok := e.callerConn.(interface{ Evicted() bool }); ok && c.Evicted() {
+		e.callerDisconnected.Store(true)
+	}
 	if !e.callerDisconnected.Load() && e.callerConn != nil && isClosedByPeer(e.callerConn) {
 		e.callerDisconnected.Store(true)
 	}
--- a/pkg/gateway/routedgateway.go
+++ b/pkg/gateway/routedgateway.go
@@ -141,6 +141,8 @@
 	refusal := memoryFullRefusal()
 	if held.Grow(openRequestBytes, memory.SmallBody) {
 		body, refusal, err = readBody(w, r, limit, routedRequest.Timeout, held)
+	} else {
+		setBodyDeadline(w, routedRequest.Timeout)
 	}
 	switch {
 	case err != nil:
--- a/pkg/node/connections.go
+++ b/pkg/node/connections.go
@@ -22,13 +22,14 @@
 	// callerDescriptors is the part of the descriptors for connections of callers. Each
 	// request needs another one for its target.
 	callerDescriptors = 0.45
-	// A hub is linked with up to 150 nodes.
-	peerDescriptors = 0.1
+	// A hub is linked with up to 150 nodes. With 1,024 descriptors peers may use 204.
+	peerDescriptors = 0.2
 	// Operators and the load balancer open a few connections.
 	controlDescriptors = 0.02
 	// controlMemory is the part of the memory of callers' connections that those of each other
 	// listener may hold.
-	controlMemory = 0.25
+	// With the least memory, 64 MB, this is enough for 160 peers.
+	controlMemory = 0.35
 	// headerMargin and headerMarginBytes are what the bound on a request header exceeds the
 	// platform's limit by. Such a request still gets a typed error, and the bytes that are
 	// read with the header belong to its body.
@@ -56,9 +57,9 @@
 		Listener: "callers", MemoryBytes: memory.ConnectionBytes(cfg.MemoryBytes()), DescriptorShare: callerDescriptors,
 		HeaderBytes: func() int {
 			if limit := n.daemon.Snapshot().CallerLimits.MaxHeaderBytes; limit > 0 {
-				return min(headerMargin*limit+headerMarginBytes, gateway.MaxServerHeaderBytes)
+				return min(headerMargin*limit, gateway.MaxServerHeaderBytes) + headerMarginBytes
 			}
-			return gateway.MaxServerHeaderBytes
+			return gateway.MaxServerHeaderBytes + headerMarginBytes
 		},
 	})
 }
