Read the sizes of shared prompt parts

Cause: the prefill time that a held prefix saves depends on its size, and the decoder kept the IDs of the shared parts only. PromptParts and its uses (quarantine, event 1302) are unchanged.

--- a/pkg/core/state/routedrequest.go
+++ b/pkg/core/state/routedrequest.go
@@ -24,6 +24,9 @@
 	// PromptParts are the parts of the prompt that other requests may share, in
 	// their order. The part of the request itself is not among them.
 	PromptParts []PromptPartID
+	// PrefixTokens are the sizes of the first of PromptParts in tokens. They end before
+	// the first malformed entry, after which no part has a known position in the prompt.
+	PrefixTokens []int
 	// Fingerprint is the same for repetitions of the request.
 	Fingerprint Fingerprint
 	// HeaderBytes and BodyBytes are the sizes of the request's header and body.
