Weigh held prompt prefixes against the load of their target

Cause: a target that still holds the beginning of a prompt needs no prefill for it, and placement ignored that. Change: with prompt_cache_retention (default 0s, off) each node keeps what first events have shown targets to hold, and subtracts the saved prefill from the predicted time to the first event. Among relayed counts, only the part of the unseen requests with the same first part follows a saving. Targets that are slower than predicted or keep nothing lose it. Evidence ends with the process, epoch, departure, connection faults, expiry and the estimated memory.

--- a/pkg/core/dispatch/attempt.go
+++ b/pkg/core/dispatch/attempt.go
@@ -62,9 +62,10 @@
 		if active.firstEventAt == 0 {
 			active.firstEventAt = now
 			s.countFirstEvent(now, active)
+			s.countSaving(now, active)
 		}
 		s.dropFallbacks(now, active, out)
-		s.handleFirstEvent(active, out)
+		s.handleFirstEvent(now, active, out)
 	case state.AttemptStalled:
 		s.handleStall(now, active, out)
 	case state.AttemptStallEnded:
@@ -74,7 +75,7 @@
 	}
 }
 
-func (s *System) handleFirstEvent(active *activeRequest, out *state.Outbox) {
+func (s *System) handleFirstEvent(now time.Duration, active *activeRequest, out *state.Outbox) {
 	t := active.target
 	if active.firstEventSeen {
 		return
@@ -83,6 +84,7 @@
 	active.firstEventSeen = true
 	t.removeLoad(active.req, false)
 	t.addLoad(active.req, true)
+	s.countHeldPrompt(now, active)
 }
 
 // handleStall marks an attempt as stalled and schedules its failover. If no other
@@ -301,7 +303,8 @@
 
 // recordTargetHealth updates the failure rate, the avoid times and the stall
 // report of a target after the end of an attempt. Cancelled attempts and attempts
-// that this node did not send carry no information about the target.
+// that this node did not send carry no information about the target. A target that may have
+// ended is no longer known to hold any prompt.
 func (s *System) recordTargetHealth(now time.Duration, t *target, ev state.AttemptEvent) {
 	if ev.Failure == state.FailureCancelled || ev.Failure == state.FailureDecisionExpired {
 		return
@@ -311,14 +314,17 @@
 	case ev.Misdirected:
 		t.avoidUntil = now + misdirectedAvoidTime
 		s.managed.StalledTargets[t.id] = now
+		t.forget()
 	case ev.FaultyHost != "":
 		t.avoidUntil = now + failureAvoidTime
 		s.managed.StalledTargets[t.id] = now
+		t.forget()
 	case ev.Failure == state.FailureTargetRefused:
 		t.fullUntil = now + fullAvoidTime
 	case ev.Failure == state.FailureConnect, ev.Failure == state.FailureConnectionLost && t.engine != nil:
 		t.avoidUntil = now + failureAvoidTime
 		s.managed.StalledTargets[t.id] = now
+		t.forget()
 	}
 }
 
--- a/pkg/core/dispatch/dispatch.go
+++ b/pkg/core/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/apricotgrade/apricotgrade/pkg/apierror"
+	"github.com/apricotgrade/apricotgrade/pkg/core/promptcache"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 	"github.com/apricotgrade/apricotgrade/pkg/event"
 )
@@ -44,6 +45,12 @@
 	// firstSentAt is when the first attempt was started, and predicted the time to the
 	// first event that was predicted for the last one.
 	firstSentAt, predicted time.Duration
+	// prefixes are those of the prompt, if targets keep prompts. heldTokens is the part of the
+	// prompt that the target of the last attempt was expected to hold, and predictedHeld the
+	// time to the first event if that saved all of its prefill.
+	prefixes      []promptcache.Prefix
+	heldTokens    int
+	predictedHeld time.Duration
 }
 
 // hasBegun reports whether the caller has received a part of the answer.
@@ -78,6 +85,10 @@
 	peerStatusAt time.Duration
 	// pickOnRelayed chooses a target where counts of peers are relayed.
 	pickOnRelayed func(now time.Duration, active *activeRequest) *target
+	// heldPrompts holds what targets hold of prompts, nil if they keep none. promptMemoryAt is
+	// when the use of their memory was last counted.
+	heldPrompts    *promptcache.Store
+	promptMemoryAt time.Duration
 	// changedNodes collects the changes of the registered nodes, of which nodesVersion
 	// counts those that were seen.
 	changedNodes *state.DirtySet[state.NodeID]
@@ -96,7 +107,7 @@
 		activeRequests: map[state.RequestID]*activeRequest{}, retryBudgets: map[string]*retryBudget{},
 		deadlines: state.NewDueQueue[state.RequestID](), failovers: state.NewDueQueue[state.RequestID](),
 		deletions: state.NewDueQueue[state.RequestID](), demand: map[string]*decayingRate{}, admissionClosesAt: -1,
-		changedNodes: t.Managed.Nodes.Subscribe(),
+		changedNodes: t.Managed.Nodes.Subscribe(), heldPrompts: newHeldPrompts(&t.Self),
 	}
 	s.pickOnRelayed = s.pickOnRelayedCounts
 	return s
@@ -125,6 +136,7 @@
 			s.placeQueued(now, out)
 		}
 	case state.Tick:
+		s.fillPromptMemory(now)
 		s.placeQueued(now, out)
 		s.publishDemand(now)
 		s.clearSuspects(now, out)
@@ -146,6 +158,7 @@
 	}
 	active := &activeRequest{req: req, objectiveEnd: req.ArrivedAt + req.Route.LatencyObjective, priority: s.index.priority(req)}
 	active.pool = s.pool(poolKey{service: req.Service, model: s.modelOf(req)})
+	s.readPrefixes(active)
 	s.activeRequests[arrival.ID] = active
 	s.deadlines.Schedule(arrival.ID, req.Deadline)
 	s.retryBudget(req.Service).countRequest(now)
@@ -333,10 +346,16 @@
 		firstEventAt = active.firstEventAt
 	}
 	late := latenessCause(req, active, firstEventAt, longestGap)
-	out.Log(event.RequestEnded, slog.String("request", req.Arrival.Routed.AttemptID), slog.String("route", req.Route.Name), slog.String("target", string(req.Target)),
+	attrs := []slog.Attr{
+		slog.String("request", req.Arrival.Routed.AttemptID), slog.String("route", req.Route.Name), slog.String("target", string(req.Target)),
 		slog.Int("attempts", req.Attempt), slog.Duration("queued", active.firstSentAt-req.ArrivedAt), slog.Duration("predicted", active.predicted),
 		slog.Duration("first", firstEventAt-req.ArrivedAt), slog.Duration("gap", longestGap), slog.Duration("age", now-req.ArrivedAt),
-		slog.String("late", string(late)))
+		slog.String("late", string(late)),
+	}
+	if active.heldTokens > 0 {
+		attrs = append(attrs, slog.Int("held", active.heldTokens))
+	}
+	out.Log(event.RequestEnded, attrs...)
 	s.finish(now, req)
 }
 
--- a/pkg/core/dispatch/intime.go
+++ b/pkg/core/dispatch/intime.go
@@ -52,7 +52,8 @@
 // limitToObjective reduces the room of targets to the requests whose first events are in time
 // there. Half of the slots of a target stay open to all requests, so that none is refused
 // while targets have much room, however slow they are. A request that is late already, a
-// further attempt and one for a plain service are bounded by the slots only.
+// further attempt and one for a plain service are bounded by the slots only. A held prefix
+// counts like a prompt that is shorter by as much.
 //
 // Load pattern: for tens of seconds there are a third more requests than the targets can
 // serve in time. If every slot is filled, the first events of all requests come late.
@@ -64,7 +65,7 @@
 	level := left - active.pool.fixedLatency.value
 	for i := range options {
 		o := &options[i]
-		inTime := float64(level-o.cost) / float64(o.slope)
+		inTime := float64(level-o.cost+o.saved) / float64(o.slope)
 		unloaded := float64(o.target.capacity()/2 - o.target.inFlight())
 		o.room = min(o.room, max(inTime, unloaded, 0))
 	}
--- a/pkg/core/dispatch/place.go
+++ b/pkg/core/dispatch/place.go
@@ -84,7 +84,7 @@
 	var candidates []candidate
 	for _, t := range active.pool.targets {
 		if s.exclusion(now, t, active) == "" && t.inFlight() < t.capacity() {
-			candidates = append(candidates, candidate{t, s.cost(now, t, active)})
+			candidates = append(candidates, candidate{t, s.cost(now, t, active) - s.savedTime(now, t, active)})
 		}
 	}
 	candidates = nearBestCandidates(candidates)
@@ -179,6 +179,11 @@
 // as waiting for it runs by now. Otherwise a target with many such requests would get none for
 // a status period, and all of those that follow in the next.
 func (s *System) predict(t *target, active *activeRequest) time.Duration {
+	return s.predictTokens(t, active.req.Arrival.Routed.PromptTokens)
+}
+
+// predictTokens returns the same for a prompt of which a number of tokens is computed.
+func (s *System) predictTokens(t *target, promptTokens int) time.Duration {
 	if t.engine == nil {
 		return plainServiceTime * time.Duration(t.inFlight()+1) / time.Duration(t.slots)
 	}
@@ -188,7 +193,7 @@
 			Running: t.load.Running + t.peerLoad.Running + t.peerLoad.Waiting, Waiting: t.load.Waiting, WaitingTokens: t.load.WaitingTokens,
 		}
 	}
-	return timeToFirstEvent(t.engine, t.timeFactor, load, active.req.Arrival.Routed.PromptTokens)
+	return timeToFirstEvent(t.engine, t.timeFactor, load, promptTokens)
 }
 
 // penalty returns the cost of a target for its recent failures and for another data centre.
@@ -206,7 +211,11 @@
 	req := active.req
 	s.removeFromQueue(active)
 	routed := req.Arrival.Routed
-	predicted := s.predict(t, active)
+	plain := s.predict(t, active)
+	predicted := plain - s.savedTime(now, t, active)
+	active.heldTokens = s.heldTokens(now, t, active)
+	active.predictedHeld = plain - s.prefillSaved(t, active, active.heldTokens)
+	s.countPromptSize(active, t)
 	req.Phase, req.Target, req.TargetStartID, req.SentAt = state.RequestSent, state.TargetID(t.id), t.startID, now
 	active.attempts++
 	req.Attempt = active.attempts
@@ -228,7 +237,7 @@
 		KeepPrevious: len(active.fallbacks) > 0, EndsWithCaller: true,
 	}
 	if req.Route.Stream {
-		attempt.StallAfter, attempt.FirstEventStallAfter = stallTimeout, 2*predicted+firstEventSlack
+		attempt.StallAfter, attempt.FirstEventStallAfter = stallTimeout, 2*plain+firstEventSlack
 	}
 	out.Add(attempt)
 	if req.Attempt > 1 || now > req.ArrivedAt {
--- a/pkg/core/dispatch/replay_test.go
+++ b/pkg/core/dispatch/replay_test.go
@@ -13,6 +13,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/apricotgrade/apricotgrade/pkg/apierror"
+	"github.com/apricotgrade/apricotgrade/pkg/core/promptcache"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 )
 
@@ -41,6 +42,8 @@
 	arriving   []*replayStream
 	running    []*replayStream
 	passEnd    time.Duration
+	// memory holds the prompts that the engine keeps, nil if it keeps none.
+	memory *replayMemory
 }
 
 // replayStream is an attempt at an engine.
@@ -51,6 +54,7 @@
 	promptTokens int
 	tokensLeft   int
 	begun        bool
+	prefixes     []promptcache.Prefix
 }
 
 // step ends the current pass if it is due, reports its events, and begins the next one.
@@ -74,7 +78,7 @@
 	e.arriving = slices.DeleteFunc(e.arriving, func(s *replayStream) bool {
 		joins := s.joinsAt <= now && len(e.running) < e.profile.Slots
 		if joins {
-			e.running, prefill = append(e.running, s), prefill+s.promptTokens
+			e.running, prefill = append(e.running, s), prefill+s.promptTokens-e.memory.take(s, e.inUse())
 		}
 		return joins
 	})
@@ -91,7 +95,11 @@
 // replayResult counts the requests of a replay after its warm-up.
 type replayResult struct {
 	asked, inTime, late, refused int
-	firstEvents                  []time.Duration
+	// peak is the largest number of requests at one engine.
+	peak int
+	// urgentAsked and urgentInTime count the requests of priority 0.
+	urgentAsked, urgentInTime int
+	firstEvents               []time.Duration
 }
 
 func (r *replayResult) inTimePart() float64 { return float64(r.inTime) / float64(max(r.asked, 1)) }
@@ -107,6 +115,9 @@
 	result   replayResult
 	// answerTokens holds the length of the answer to each request.
 	answerTokens map[state.RequestID]int
+	// shape changes a request before it arrives, and each is called in each step. Both may be nil.
+	shape func(*state.RoutedRequest)
+	each  func(elapsed time.Duration)
 }
 
 // replayReport holds the loads of all nodes at one moment.
@@ -117,6 +128,11 @@
 
 // newReplayCluster returns a cluster whose nodes decide by a rule.
 func newReplayCluster(t *testing.T, seed uint64, rule func(*System) func(time.Duration, *activeRequest) *target) *replayCluster {
+	return newReplayClusterOf(t, seed, replayNodes, rule)
+}
+
+// newReplayClusterOf returns a cluster with a number of nodes.
+func newReplayClusterOf(t *testing.T, seed uint64, nodes int, rule func(*System) func(time.Duration, *activeRequest) *target) *replayCluster {
 	c := &replayCluster{engines: map[state.TargetID]*replayEngine{}, rand: rand.New(rand.NewPCG(seed, 1)), arrivals: map[state.RequestID]time.Duration{}, answerTokens: map[state.RequestID]int{}}
 	config := platformConfig(1)
 	profile := config.Services[0].Engine
@@ -127,11 +143,11 @@
 	for i := range replayGroups {
 		c.engines[state.TargetID(fmt.Sprintf("g%d", i))] = &replayEngine{profile: profile, timeFactor: profile.Models[0].TimeFactor}
 	}
-	for i := range replayNodes {
+	for i := range nodes {
 		node := &replayNode{rig: newRig(t, replayGroups)}
 		node.tables.Self.ID, node.tables.Rand = state.NodeID(fmt.Sprintf("n%d", i)), rand.New(rand.NewPCG(seed, uint64(i)))
 		node.tables.Managed.PlatformConfig = config
-		for j := range replayNodes {
+		for j := range nodes {
 			node.tables.Managed.Nodes.Put(state.NodeID(fmt.Sprintf("n%d", j)), &state.RegisteredNode{Entry: state.NodeEntry{DataCentre: "a"}})
 		}
 		node.system.pickOnRelayed = rule(node.system)
@@ -148,6 +164,9 @@
 		for _, node := range c.nodes {
 			node.now = c.now
 		}
+		if c.each != nil {
+			c.each(elapsed)
+		}
 		for ; nextArrival <= elapsed; nextArrival += time.Duration(c.rand.ExpFloat64() / rate(elapsed) * float64(time.Second)) {
 			c.arrive(elapsed >= replayWarmUp && elapsed < replayArrivals)
 		}
@@ -177,12 +196,19 @@
 		c.arrivals[id] = c.now
 		c.result.asked++
 	}
-	prompt := min(int(674*math.Exp(0.8*c.rand.NormFloat64()-0.32)), 2340)
-	c.answerTokens[id] = max(int(115*math.Exp(0.6*c.rand.NormFloat64()-0.18)), 5)
-	node.step(state.RequestArrived{ID: id, Routed: &state.RoutedRequest{
+	routed := &state.RoutedRequest{
 		HostName: "shop.example", Path: "/a/x", HasKey: true, KeyHash: sha256.Sum256([]byte(apiKey)), AttemptID: string(id),
-		Model: modelName, PromptTokens: prompt, OutputTokens: 115, Timeout: 6 * time.Second,
-	}})
+		Model: modelName, OutputTokens: 115, Timeout: 6 * time.Second,
+	}
+	routed.PromptTokens = min(int(674*math.Exp(0.8*c.rand.NormFloat64()-0.32)), 2340)
+	c.answerTokens[id] = max(int(115*math.Exp(0.6*c.rand.NormFloat64()-0.18)), 5)
+	if c.shape != nil {
+		c.shape(routed)
+	}
+	if counts && routed.Path == urgentPath {
+		c.result.urgentAsked++
+	}
+	node.step(state.RequestArrived{ID: id, Routed: routed})
 }
 
 // exchangeLoads takes the loads of all nodes each status period and delivers them later.
@@ -235,8 +261,10 @@
 	for _, start := range node.starts {
 		req := node.tables.Requests.Get(start.Request)
 		engine := c.engines[start.Target]
+		c.result.peak = max(c.result.peak, len(engine.arriving)+len(engine.running)+1)
 		engine.arriving = append(engine.arriving, &replayStream{
-			node: node, start: start, joinsAt: c.now + replayFixedLatency, promptTokens: req.Arrival.Routed.PromptTokens, tokensLeft: c.answerTokens[start.Request],
+			prefixes: promptcache.Prefixes(req.Account, modelName, req.Arrival.Routed.PromptParts, req.Arrival.Routed.PrefixTokens),
+			node:     node, start: start, joinsAt: c.now + replayFixedLatency, promptTokens: req.Arrival.Routed.PromptTokens, tokensLeft: c.answerTokens[start.Request],
 		})
 	}
 	node.starts = node.starts[:0]
@@ -252,6 +280,9 @@
 			c.result.refused++
 		case node.firstEvents[reply.Request]-arrivedAt <= req.Route.LatencyObjective:
 			c.result.inTime++
+			if req.Arrival.Routed.Path == urgentPath {
+				c.result.urgentInTime++
+			}
 		default:
 			c.result.late++
 		}
--- a/pkg/core/dispatch/stalecounts.go
+++ b/pkg/core/dispatch/stalecounts.go
@@ -32,6 +32,8 @@
 	// cost is the predicted time to the first event, and slope what each further request
 	// adds to it.
 	cost, slope time.Duration
+	// saved is the prefill time that the request needs less because the target holds a prefix.
+	saved time.Duration
 	// room is the number of requests that the target can begin to run before newer counts
 	// arrive.
 	room float64
@@ -119,8 +121,9 @@
 	options := make([]option, 0, len(active.pool.targets))
 	for _, t := range active.pool.targets {
 		if s.exclusion(now, t, active) == "" {
+			computed := active.req.Arrival.Routed.PromptTokens - s.heldTokens(now, t, active)
 			options = append(options, option{
-				target: t, cost: s.cost(now, t, active), slope: t.slope(active.req.Arrival.Routed.PromptTokens, s.countAge(now)),
+				target: t, cost: s.cost(now, t, active), saved: s.savedTime(now, t, active), slope: t.slope(computed, s.countAge(now)),
 				room: max(float64(t.capacity()-t.inFlight()), 0),
 			})
 		}
@@ -196,7 +199,8 @@
 	if active.attempts == 0 && s.tables.Rand.Float64() >= active.pool.admittedPart(now, active.priority, placed/arrivals) {
 		return nil
 	}
-	drawn := s.tables.Rand.Float64() * placed
+	shares = active.pool.followSavings(active, options, shares, arrivals)
+	drawn := s.tables.Rand.Float64() * sum(shares)
 	for i := range options {
 		if drawn -= shares[i]; drawn < 0 {
 			return options[i].target
--- a/pkg/core/dispatch/target.go
+++ b/pkg/core/dispatch/target.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/apricotgrade/apricotgrade/pkg/core/promptcache"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 )
 
@@ -59,6 +60,10 @@
 	failedWeight, endedWeight float64
 	decayedAt                 time.Duration
 	activeRequests            map[state.RequestID]*activeRequest
+	// held is what the target holds of prompts, nil if targets keep none. shortfall is the
+	// mean time that attempts lack of the saving.
+	held      *promptcache.Target
+	shortfall time.Duration
 }
 
 // targetPool holds the targets of one service and model, and the requests that
@@ -70,9 +75,15 @@
 	// attemptEndRate is the number of attempts of this node that end per second.
 	attemptEndRate decayingRate
 	// meanResidence is the mean time of an attempt of this node; 0 before the first end.
-	meanResidence time.Duration
-	fixedLatency  fixedLatency
-	classes       classRates
+	meanResidence  time.Duration
+	fixedLatency   fixedLatency
+	classes        classRates
+	sizes          requestSizes
+	recentPrefixes recentPrefixes
+	// unsavedDifference is the mean difference between the observed and the predicted time to
+	// the first event of the attempts that found nothing held, of which there were unsavedAttempts.
+	unsavedDifference time.Duration
+	unsavedAttempts   int
 }
 
 // poolKey identifies a pool. The model is empty for a plain service.
@@ -118,6 +129,7 @@
 				t.timeFactor = modelProfile.TimeFactor
 			}
 		}
+		s.followEngine(t)
 		if instance.ColdRemaining > 0 {
 			t.coldUntil = instance.RevisionSeenAt + instance.ColdRemaining
 		}
@@ -125,6 +137,9 @@
 		pool.targets = append(pool.targets, t)
 	}
 	for id, t := range s.targets {
+		if !t.usable {
+			t.forget()
+		}
 		if !t.usable && len(t.activeRequests) == 0 {
 			delete(s.targets, id)
 			delete(s.managed.StalledTargets, id)
@@ -139,6 +154,8 @@
 func (s *System) replaceTarget(old *target, id state.HostID, instance *state.Instance) *target {
 	if old != nil {
 		s.setSuspect(old, false, nil)
+		old.forget()
+		old.held = nil
 	}
 	delete(s.managed.StalledTargets, id)
 	t := &target{
--- a/pkg/core/state/row.go
+++ b/pkg/core/state/row.go
@@ -24,6 +24,9 @@
 	RetryBase  int
 	// ProcessorShare is that of NodeEntry.
 	ProcessorShare float64
+	// PromptCacheRetention is how long targets are expected to keep the prefix of a
+	// prompt after its last use; 0 if they keep none.
+	PromptCacheRetention time.Duration
 }
 
 // Configuration is this node's copy of the configuration. Written by the
--- a/pkg/metric/docs_test.go
+++ b/pkg/metric/docs_test.go
@@ -42,7 +42,7 @@
 	} {
 		r.Step(time.Second, in, []state.Output{state.StoreRequest{ID: 1}, state.StartAttempt{Request: "r"}}, 0)
 	}
-	r.Step(time.Second, state.Tick{}, []state.Output{state.LogEvent{Event: event.GroupOpened}, state.LogEvent{Event: event.RequestEnded, Attrs: []slog.Attr{slog.String("late", "gap")}}, state.Reply{Request: "r"}, state.Reply{Request: "s", Refusal: refusal}}, 0)
+	r.Step(time.Second, state.Tick{}, []state.Output{state.LogEvent{Event: event.GroupOpened}, state.LogEvent{Event: event.RequestEnded, Attrs: []slog.Attr{slog.String("late", "gap"), slog.Int("held", 1)}}, state.Reply{Request: "r"}, state.Reply{Request: "s", Refusal: refusal}}, 0)
 	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
 	if err != nil {
 		t.Fatal(err)
--- a/pkg/metric/managed.go
+++ b/pkg/metric/managed.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -53,6 +54,9 @@
 			if late := attrValue(out, "late"); late != "" {
 				m.increment("apricotgrade_late_answers_total{cause=%q}", late)
 			}
+			if held := attrInt(out, "held"); held > 0 {
+				m.set.GetOrCreateCounter("apricotgrade_held_prompt_tokens_total").AddInt64(held)
+			}
 		case event.PromptPartQuarantined:
 			m.quarantinedParts.Inc()
 		case event.PromptPartReleased:
@@ -79,6 +83,16 @@
 	return ""
 }
 
+// attrInt returns the number of an attribute of a log event, or 0.
+func attrInt(e state.LogEvent, key string) int64 {
+	for _, attr := range e.Attrs {
+		if attr.Key == key && attr.Value.Kind() == slog.KindInt64 {
+			return attr.Value.Int64()
+		}
+	}
+	return 0
+}
+
 // increment formats the name and labels of a counter and increments it.
 func (m *managedMetrics) increment(format string, values ...any) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(format, values...)).Inc()
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -83,6 +83,7 @@
 		ID: state.NodeID(cfg.ID), DataCentre: state.DataCentre(cfg.DataCentre), Address: advertisedAddress(cfg, l.peers),
 		Incarnation: state.Incarnation(time.Now().UnixNano()), DrainNotice: cfg.DrainNotice,
 		FirstStart: cfg.FirstStart, RetryRatio: cfg.RetryRatio, RetryBase: cfg.RetryBase, ProcessorShare: cfg.ProcessorShare,
+		PromptCacheRetention: cfg.PromptCacheRetention,
 	}
 }
 
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -46,6 +46,9 @@
 	RetryBase  int
 	// ProcessorShare is the part of a processor core that the process may use.
 	ProcessorShare float64
+	// PromptCacheRetention is how long targets are expected to keep the prefix of a
+	// prompt; 0 if they keep none.
+	PromptCacheRetention time.Duration
 	// MemoryMB is the memory in MiB that the process may use, or 0 for the default.
 	MemoryMB int
 }
@@ -79,8 +82,8 @@
 		PlatformURL: section.Text("platform"), DrainNotice: section.Duration("drain_notice"), LogLevel: logLevels[section.Text("log_level")],
 		Managed: section.Text("configuration") == "platform", ReadyListen: section.Text("ready_listen"), ReadyPath: section.Text("ready_path"),
 		FirstStart: section.Bool("first_start"), RetryRatio: section.Ratio("retry_ratio"), RetryBase: int(section.Int("retry_base")),
-		ProcessorShare: section.Ratio("processor_share"),
-		MemoryMB:       int(section.Int("memory_mb")),
+		ProcessorShare: section.Ratio("processor_share"), PromptCacheRetention: section.Duration("prompt_cache_retention"),
+		MemoryMB: int(section.Int("memory_mb")),
 	}
 	for _, op := range file.Sections("operator") {
 		n.Operators = append(n.Operators, Operator{Name: op.Name, Key: op.Text("key")})
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -24,6 +24,7 @@
 peer_key_file = peer.key
 platform = http://127.0.0.1:7000
 drain_notice = 1m30s
+prompt_cache_retention = 45s
 
 [operator ann]
 key = a#key;with%(odd)s "signs"
@@ -50,7 +51,7 @@
 	g.Expect(n).To(gomega.Equal(settings.Node{
 		ID: "n1", DataCentre: "north", Listen: "127.0.0.1:8080", AdminListen: "127.0.0.1:8090",
 		PeerListen: "127.0.0.1:8070", PeerAddress: "127.0.0.1:8070", PeerKey: "secret",
-		PlatformURL: "http://127.0.0.1:7000", DrainNotice: 90 * time.Second, RetryRatio: 0.2, RetryBase: 130, MemoryMB: 184, ProcessorShare: 1,
+		PlatformURL: "http://127.0.0.1:7000", DrainNotice: 90 * time.Second, RetryRatio: 0.2, RetryBase: 130, MemoryMB: 184, ProcessorShare: 1, PromptCacheRetention: 45 * time.Second,
 		Operators: []settings.Operator{{Name: "ann", Key: `a#key;with%(odd)s "signs"`}},
 		ReadyPath: "/readyz",
 	}))
--- a/pkg/settings/tables.go
+++ b/pkg/settings/tables.go
@@ -47,6 +47,10 @@
 					Name: "processor_share", Kind: inifile.Ratio, Default: "1",
 					Help: "Part of a processor core that the process may use. Where more than nine nodes run, those with the largest part relay messages and form replica groups. Used with `configuration = platform`. The flag `-processor-share` of the daemon takes precedence.",
 				},
+				{
+					Name: "prompt_cache_retention", Kind: inifile.Duration, Default: "0s", Min: 0, Max: int64(time.Hour),
+					Help: "Time for which a target is expected to keep the beginning of a prompt after its last use, unless other prompts take its memory. Requests then prefer such a target by the prefill time that they save. 0 is for engines that keep no prompts, and switches this off. Used with `configuration = platform`.",
+				},
 				{Name: "log_level", Kind: inifile.Choice, Default: "info", Choices: []string{"debug", "info", "warn", "error"}, Help: "Lowest level of log lines."},
 			},
 		},
