Test that a departed target holds no prompts

Cause: of seven rules switched off by hand, two survived: what a departed target held, and first events there after its departure. A third, held = nil at a replaced target, was redundant with the check for a usable target and is removed. Result: these two rules, the replacement of a process and the shortfall are each caught now.

--- a/pkg/core/dispatch/heldprompts_test.go
+++ b/pkg/core/dispatch/heldprompts_test.go
@@ -117,6 +117,29 @@
 	}
 }
 
+// TestDepartedTargetHoldsNothing guards against evidence on a target that departs or restarts
+// while requests run there: what it held, and first events that arrive later.
+func TestDepartedTargetHoldsNothing(t *testing.T) {
+	for name, change := range map[string]func(*state.Instance){
+		"departure": func(row *state.Instance) { row.Draining = true },
+		"restart":   func(row *state.Instance) { row.StartID++ },
+	} {
+		g := gomega.NewWithT(t)
+		r := newHeldRig(t, 3)
+		holder := r.holder()
+		running := r.sendLong()
+		g.Expect(r.lastAttempt(running).Target).To(gomega.Equal(state.TargetID(holder.id)), name)
+		row := *r.tables.Managed.Instances.Get(holder.id)
+		change(&row)
+		r.tables.Managed.Instances.Put(holder.id, &row)
+		r.tables.Managed.TargetInputsVersion++
+		r.step(state.Tick{})
+		g.Expect(r.system.heldPrompts.Len()).To(gomega.BeZero(), name)
+		r.reportStage(running, state.AttemptFirstByte)
+		g.Expect(r.system.heldPrompts.Len()).To(gomega.BeZero(), "%s: first event of the previous process", name)
+	}
+}
+
 // TestShortfallConsumesSaving guards against requests that follow a target that keeps nothing, or
 // that is slower than predicted, and against a saving of requests without parts when a target
 // is faster than predicted.
--- a/pkg/core/dispatch/target.go
+++ b/pkg/core/dispatch/target.go
@@ -155,7 +155,6 @@
 	if old != nil {
 		s.setSuspect(old, false, nil)
 		old.forget()
-		old.held = nil
 	}
 	delete(s.managed.StalledTargets, id)
 	t := &target{
