Place queued requests for plain services as soon as a slot is free

Their counts are older than the requests, so that the next status of the peers says nothing new; a request waited up to 100 ms of an objective of 120 ms.

--- a/pkg/core/dispatch/dispatch.go
+++ b/pkg/core/dispatch/dispatch.go
@@ -35,8 +35,8 @@
 	priority int
 	// queuedAt is when the request was last queued for another attempt.
 	queuedAt time.Duration
-	// nextDrawAt is when a queued request is placed again after it found no room by counts
-	// that arrive only with the next status of the peers.
+	// nextDrawAt is when a queued request for an engine is placed again after it found no room
+	// by counts that arrive only with the next status of the peers.
 	nextDrawAt time.Duration
 	// objectiveEnd is the time by which the latency objective must be met.
 	objectiveEnd time.Duration
--- a/pkg/core/dispatch/place.go
+++ b/pkg/core/dispatch/place.go
@@ -68,7 +68,7 @@
 	}
 	t := pick(now, active)
 	if t == nil {
-		if s.hasRelayedCounts() && active.attempts == 0 {
+		if s.hasRelayedCounts() && active.attempts == 0 && active.pool.key.model != "" {
 			active.nextDrawAt = now + state.PeerStatusPeriod
 		}
 		return nil
--- a/pkg/core/dispatch/stalecounts.go
+++ b/pkg/core/dispatch/stalecounts.go
@@ -106,8 +106,8 @@
 }
 
 // unseenArrivals returns how many requests that all nodes have sent to the targets of a pool
-// since the counts of peers were taken are still there. By Little's law the rate is the number of requests
-// in flight divided by the time that each of them stays.
+// since the counts of peers were taken are still there. By Little's law the rate is the number
+// of requests in flight divided by the time that each of them stays.
 func (s *System) unseenArrivals(now time.Duration, pool *targetPool) float64 {
 	inFlight := 0
 	for _, t := range pool.targets {
