--- a/pkg/core/inventory/hub.go
+++ b/pkg/core/inventory/hub.go
@@ -177,7 +177,11 @@
 		return 0
 	}
 	for id := range s.hubs {
-		if row := s.managed.Nodes.Get(id); row != nil && row.Entry.ProcessorShare >= largerHubFactor*own.Entry.ProcessorShare && s.reachesStore(now, id) {
+		row := s.managed.Nodes.Get(id)
+		if row == nil || row.Entry.ProcessorShare <= own.Entry.ProcessorShare || row.Entry.ProcessorShare < largerHubFactor*own.Entry.ProcessorShare {
+			continue
+		}
+		if s.reachesStore(now, id) {
 			larger++
 		}
 	}
