--- a/pkg/watch/fleetcalls_test.go
+++ b/pkg/watch/fleetcalls_test.go
@@ -64,22 +64,31 @@
 // instances, and when all nodes end and start again. The bounds lie between the counts
 // with and without the rules in docs/design/store-calls.md.
 func TestCallsOfFleet(t *testing.T) {
-	for _, c := range []struct{ nodes, start, calm, lost, restart int }{
-		{9, 250, 240, 260, 230}, {30, 400, 240, 280, 355}, {91, 850, 240, 290, 600},
-	} {
-		runFleet(t, c.nodes, func(t *testing.T, f *fleet) {
-			g := gomega.NewWithT(t)
-			g.Expect(f.phase(t, "start, 4 s", 4*time.Second).total()).To(gomega.BeNumerically("<", c.start))
-			g.Expect(f.phase(t, "calm, 6 s", 6*time.Second).total()).To(gomega.BeNumerically("<", c.calm))
-			f.endNode(f.holder())
-			lost := f.phase(t, "loss of the holder, 6 s", 6*time.Second)
-			g.Expect(lost.total()).To(gomega.BeNumerically("<", c.lost))
-			g.Expect(lost.sum("configuration whole", "instances whole", "nodes whole")).To(gomega.BeZero())
-			f.endAll()
-			f.startAll(c.nodes, 2)
-			g.Expect(f.phase(t, "restart, 4 s", 4*time.Second).total()).To(gomega.BeNumerically("<", c.restart))
-		})
-	}
+	expectCalls(t, 9, callBounds{start: 250, calm: 240, lost: 260, restart: 230})
+	expectCalls(t, 91, callBounds{start: 850, calm: 240, lost: 290, restart: 600})
+}
+
+// TestCallsOfThirtyNodes guards against the same with 30 nodes.
+func TestCallsOfThirtyNodes(t *testing.T) {
+	expectCalls(t, 30, callBounds{start: 370, calm: 240, lost: 280, restart: 330})
+}
+
+// callBounds holds the numbers of calls that the phases of a fleet must stay below.
+type callBounds struct{ start, calm, lost, restart int }
+
+func expectCalls(t *testing.T, nodes int, bounds callBounds) {
+	runFleet(t, nodes, func(t *testing.T, f *fleet) {
+		g := gomega.NewWithT(t)
+		g.Expect(f.phase(t, "start, 4 s", 4*time.Second).total()).To(gomega.BeNumerically("<", bounds.start))
+		g.Expect(f.phase(t, "calm, 6 s", 6*time.Second).total()).To(gomega.BeNumerically("<", bounds.calm))
+		f.endNode(f.holder())
+		lost := f.phase(t, "loss of the holder, 6 s", 6*time.Second)
+		g.Expect(lost.total()).To(gomega.BeNumerically("<", bounds.lost))
+		g.Expect(lost.sum("configuration whole", "instances whole", "nodes whole")).To(gomega.BeZero())
+		f.endAll()
+		f.startAll(nodes, 2)
+		g.Expect(f.phase(t, "restart, 4 s", 4*time.Second).total()).To(gomega.BeNumerically("<", bounds.restart))
+	})
 }
 
 // TestChangeIsInForceInTime guards against a change of the configuration that fewer calls
