--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -11,4 +11,4 @@
 	cp "$file" "$source_folder/$(basename "$file" .txt)"
 done
 cd "$source_folder"
-GOWORK=off go build -o ../stand2 .
+GOWORK=off GOTOOLCHAIN=local GOPROXY=off go build -o ../stand2 .
