Log recoveries of the store and the removals that they defer

Change: the events 1028 and 1029, with the age of the last answer and the time that the removal waits.

--- a/pkg/core/inventory/inventory.go
+++ b/pkg/core/inventory/inventory.go
@@ -145,10 +145,12 @@
 		s.storeFailing = true
 		return
 	}
+	evidenceAge := table.EvidenceAge(now)
 	table.AnsweredAt = max(table.AnsweredAt, in.SentAt)
 	defer s.updateFreshness(now, out)
 	if in.Table == state.InstanceTable && s.storeFailing {
 		s.storeFailing, s.managed.StoreRecoveredAt = false, now
+		out.Log(event.StoreRecovered, slog.Duration("evidence_age", evidenceAge))
 	}
 	previousRevision := table.Revision
 	s.applyUpdate(now, in, "", out)
@@ -301,7 +303,7 @@
 		}
 		for _, id := range slices.Clone(s.managed.Instances.Keys()) {
 			if !present[string(id)] {
-				s.removeInstance(now, id)
+				s.removeInstance(now, id, out)
 			}
 		}
 	case state.NodeTable:
@@ -333,7 +335,7 @@
 	case state.InstanceTable:
 		s.restoration.dropRow(state.HostID(key))
 		if old := s.managed.Instances.Get(state.HostID(key)); old != nil && old.Revision <= revision {
-			s.removeInstance(now, old.ID)
+			s.removeInstance(now, old.ID, out)
 		}
 	case state.NodeTable:
 		if id, ok := strings.CutPrefix(key, state.PrefixNode); ok {
@@ -348,11 +350,12 @@
 
 // removeInstance removes an instance. An instance whose entry expired during a
 // store outage could not renew it and is kept for entryReturnTime.
-func (s *System) removeInstance(now time.Duration, id state.HostID) {
+func (s *System) removeInstance(now time.Duration, id state.HostID, out *state.Outbox) {
 	since := max(s.managed.StoreRecoveredAt, s.managed.Tables[state.InstanceTable].FailedAt)
 	if since >= 0 && now-since < outageRemovalWindow {
 		if !s.expiredInstances.Has(id) {
 			s.expiredInstances.Schedule(id, since+entryReturnTime)
+			out.Log(event.EntryRemovalDeferred, slog.String("host", string(id)), slog.Duration("wait", since+entryReturnTime-now))
 		}
 		return
 	}
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -41,6 +41,8 @@
 	TargetLimitNamed        ID = 1025
 	TargetLimitChanged      ID = 1026
 	TargetLimitEnded        ID = 1027
+	StoreRecovered          ID = 1028
+	EntryRemovalDeferred    ID = 1029
 )
 
 // Events of peers: 1100 to 1199.
@@ -168,6 +170,8 @@
 	{TargetLimitNamed, Info, "target named a limit of requests"},
 	{TargetLimitChanged, Info, "target changed its limit of requests"},
 	{TargetLimitEnded, Info, "limit of requests of a target ended"},
+	{StoreRecovered, Info, "platform's store answers calls for the list of instances again"},
+	{EntryRemovalDeferred, Info, "removal of an instance deferred after an outage of the store"},
 	{PeerUp, Info, "link to peer up"},
 	{PeerDown, Warn, "link to peer down"},
 	{PeerFrameMalformed, Warn, "malformed frame from peer, link closed"},
