Do not take the cut of one node for an outage of the store

Cause: an entry may expire in an outage, so its removal waits for 2 s. Whether there had been one was decided by the failed calls of one node: any failed call set a flag that only an answer for the list of instances cleared, and a node to which the list is relayed makes no such calls. The flag outlived the cut until the node took over the watch. A failed call for the list deferred removals by itself too, also those that peers relayed.

Change: nodes tell in their status when the store last answered them a call for the list, and for how long it has answered nodes without a break. An outage is one in which no node was answered. A node that was isolated withdraws what it assumed as soon as a peer was answered all the while. What rests on a node's own view stays: the grace of the lease, and the age of the entries that it has read.

--- a/pkg/core/formation/lease.go
+++ b/pkg/core/formation/lease.go
@@ -114,10 +114,11 @@
 	return s.lease.isHolder && (now < s.lease.validUntil || s.isOutage(now))
 }
 
-// isStoreJustBack reports whether the store recovered so recently that the
+// isStoreJustBack reports whether the store came back so recently that the
 // holder may not have renewed the lease yet.
 func (s *System) isStoreJustBack(now time.Duration) bool {
-	return s.managed.StoreRecoveredAt >= 0 && now-s.managed.StoreRecoveredAt < renewGrace
+	returnedAt := s.managed.StoreReturnedAt()
+	return returnedAt >= 0 && now-returnedAt < renewGrace
 }
 
 // maintainLease renews, acquires, hands over or releases the lease.
@@ -139,7 +140,7 @@
 	}
 	// Calls from before the recovery of the store are not waited for. If one still
 	// takes effect, the next call finds the row of this node.
-	if l.callID != 0 && now-l.callSentAt < replyTimeout && l.callSentAt >= s.managed.StoreRecoveredAt || now < l.nextTryAt {
+	if l.callID != 0 && now-l.callSentAt < replyTimeout && l.callSentAt >= s.managed.StoreReturnedAt() || now < l.nextTryAt {
 		return
 	}
 	switch {
--- a/pkg/core/formation/plan.go
+++ b/pkg/core/formation/plan.go
@@ -304,8 +304,9 @@
 	if leader == nil || leader.dead || g.leaderGone || s.wasNeverOpened(g) || leader.row != nil && leader.startID != g.leaderStartID {
 		return true, true
 	}
-	since := max(s.lease.acquiredAt, s.managed.StoreRecoveredAt)
-	entriesCurrent := s.managed.StoreRecoveredAt < 0 || leader.row != nil && leader.row.RevisionSeenAt-s.managed.StoreRecoveredAt > entryCatchUpTime
+	returnedAt := s.managed.StoreReturnedAt()
+	since := max(s.lease.acquiredAt, returnedAt)
+	entriesCurrent := returnedAt < 0 || leader.row != nil && leader.row.RevisionSeenAt-returnedAt > entryCatchUpTime
 	if leader.row != nil && leader.row.RevisionSeenAt > since && entriesCurrent {
 		return true, true
 	}
--- a/pkg/core/inventory/era.go
+++ b/pkg/core/inventory/era.go
@@ -68,6 +68,7 @@
 		return
 	}
 	s.managed.StoreRecoveredAt = now
+	s.restartAnswers(now)
 	out.Log(event.StoreEraChanged, slog.Uint64("era", era), slog.Uint64("previous", previous))
 	s.updateWatching(now, out)
 }
--- a/pkg/core/inventory/hub.go
+++ b/pkg/core/inventory/hub.go
@@ -116,6 +116,9 @@
 	if s.watchStarted && desired == s.watching {
 		return
 	}
+	if s.watchStarted && desired.Instances != s.watching.Instances {
+		s.answers.watchedSince, s.answers.callFailed = now, s.answers.callFailed && desired.Instances
+	}
 	s.watchStarted, s.watching, s.managed.WatchesStore = true, desired, desired.Nodes
 	out.Log(event.StoreWatchChanged, slog.Bool("configuration", desired.Configuration), slog.Bool("instances", desired.Instances))
 	// What follows changes often and matters only when a watcher is enabled, so that it is
--- a/pkg/core/inventory/inventory.go
+++ b/pkg/core/inventory/inventory.go
@@ -24,8 +24,8 @@
 	// entryReturnTime is how long after a store outage an instance whose entry
 	// expired meanwhile may take to register again. The platform specifies 2 s.
 	entryReturnTime = 2 * time.Second
-	// outageRemovalWindow is how long after a failed call or a recovery of the
-	// store a removal is attributed to the outage.
+	// outageRemovalWindow is how long after a recovery of the store a removal is
+	// attributed to the outage.
 	outageRemovalWindow = 2 * time.Second
 	// tableRequestDelay is how long a peer may have a newer table before this node
 	// requests it. Rows are relayed at once unless a link failed.
@@ -67,7 +67,8 @@
 	restoration     restoration
 	startup         startup
 	nextPurgeAt     time.Duration
-	storeFailing    bool
+	// answers tracks the answers to calls for the list of instances.
+	answers listAnswers
 	// inOutage is the last result of isStoreDown.
 	inOutage            bool
 	nextPeerStatusAt    time.Duration
@@ -102,7 +103,7 @@
 func New(t *state.Tables) *System {
 	return &System{
 		tables: t, managed: t.Managed, expiredInstances: state.NewDueQueue[state.HostID](),
-		announcedLimits: map[state.HostID]state.TargetLimit{}, restoration: newRestoration(), startup: newStartup(),
+		announcedLimits: map[state.HostID]state.TargetLimit{}, answers: newListAnswers(), restoration: newRestoration(), startup: newStartup(),
 		linkedPeers: t.Managed.LinkedPeers, peerStatuses: map[state.NodeID]*state.PeerStatus{},
 		lastReachableAt: map[state.NodeID]time.Duration{},
 	}
@@ -142,15 +143,15 @@
 	table := &s.managed.Tables[in.Table]
 	if in.Failed {
 		table.FailedAt = now
-		s.storeFailing = true
+		if in.Table == state.InstanceTable {
+			s.recordFailedCall()
+		}
 		return
 	}
-	evidenceAge := table.EvidenceAge(now)
 	table.AnsweredAt = max(table.AnsweredAt, in.SentAt)
 	defer s.updateFreshness(now, out)
-	if in.Table == state.InstanceTable && s.storeFailing {
-		s.storeFailing, s.managed.StoreRecoveredAt = false, now
-		out.Log(event.StoreRecovered, slog.Duration("evidence_age", evidenceAge))
+	if in.Table == state.InstanceTable {
+		s.recordOwnAnswer(now, out)
 	}
 	previousRevision := table.Revision
 	s.applyUpdate(now, in, "", out)
@@ -351,7 +352,7 @@
 // removeInstance removes an instance. An instance whose entry expired during a
 // store outage could not renew it and is kept for entryReturnTime.
 func (s *System) removeInstance(now time.Duration, id state.HostID, out *state.Outbox) {
-	since := max(s.managed.StoreRecoveredAt, s.managed.Tables[state.InstanceTable].FailedAt)
+	since := s.managed.StoreRecoveredAt
 	if since >= 0 && now-since < outageRemovalWindow {
 		if !s.expiredInstances.Has(id) {
 			s.expiredInstances.Schedule(id, since+entryReturnTime)
--- a/pkg/core/inventory/peers.go
+++ b/pkg/core/inventory/peers.go
@@ -90,6 +90,9 @@
 	if int(rows.Table) >= len(s.managed.Tables) {
 		return
 	}
+	if rows.Table == state.InstanceTable && !rows.Snapshot && !rows.Confirmed {
+		s.recordPeerAnswer(now, now, out)
+	}
 	if rows.Confirmed {
 		for i := range rows.Rows {
 			s.applyRow(now, rows.Table, &rows.Rows[i], out)
@@ -124,6 +127,7 @@
 	s.managed.PeerStatusAt[from] = now
 	s.lastReachableAt[from] = now
 	s.peerStatuses[from] = status
+	s.handleListAnswers(now, status, out)
 	for _, id := range status.ReachableNodes {
 		s.lastReachableAt[id] = max(s.lastReachableAt[id], now-reachableTimeout/2)
 	}
@@ -196,6 +200,7 @@
 	forHubs.StalledTargets = state.SortedKeys(unanimouslyStalled(s.streamReports(s.isLeaf)))
 	forLeaves.Loads, forLeaves.Demand, forLeaves.ClusterTotals = sumLoads(totalLoads), nil, true
 	forLeaves.StoreReplyAge, forLeaves.InstancesAge = s.relayedAge(now, state.OperatorTable), s.relayedAge(now, state.InstanceTable)
+	forLeaves.ListAnswers = s.relayedListAnswers(now)
 	forLeaves.StalledTargets = state.SortedKeys(s.stallReporters)
 	for _, id := range state.SortedKeys(s.linkedPeers) {
 		switch {
@@ -208,7 +213,7 @@
 }
 
 func (s *System) newPeerStatus(now time.Duration) *state.PeerStatus {
-	status := &state.PeerStatus{StoreReplyAge: -1, InstancesAge: s.instancesAge(now), TrafficStarted: s.managed.TrafficStarted}
+	status := &state.PeerStatus{StoreReplyAge: -1, InstancesAge: s.instancesAge(now), TrafficStarted: s.managed.TrafficStarted, ListAnswers: s.ownListAnswers(now)}
 	for i := range s.managed.Tables {
 		status.TableRevisions = append(status.TableRevisions, s.managed.Tables[i].Revision)
 	}
--- a/pkg/core/state/managedstate.go
+++ b/pkg/core/state/managedstate.go
@@ -71,11 +71,16 @@
 	// system.
 	PeerLoads map[NodeID][]TargetLoad
 	// StoreOutageUntil is the time until which this node may assume that the store
-	// is down for all nodes that it reaches. StoreRecoveredAt is the time of the
-	// first answer to a call for the list of instances after unanswered calls, or of
-	// the last change of the era; negative means never. Written by the inventory system.
+	// is down for all nodes that it reaches. Written by the inventory system.
 	StoreOutageUntil time.Duration
+	// StoreRecoveredAt is when the last outage ended in which entries of instances may
+	// have expired, or when the era last changed; negative means never. A node that is cut
+	// off alone has seen no outage. Written by the inventory system.
 	StoreRecoveredAt time.Duration
+	// ListAnsweredAgainAt is when the store first answered a call of this node for the list
+	// of instances after unanswered ones; negative means never. Written by the inventory
+	// system.
+	ListAnsweredAgainAt time.Duration
 	// ShouldReleaseLease is set while a hub is the better holder of the formation
 	// lease, because a hub forwards the list of instances to all nodes itself.
 	// Written by the inventory system.
@@ -109,7 +114,7 @@
 		Nodes: NewTable[NodeID, RegisteredNode](), StalledTargets: map[HostID]time.Duration{},
 		PeerStalledTargets: map[HostID]time.Duration{}, GloballyStalledTargets: map[HostID]time.Duration{}, Loads: map[HostID]*TargetLoad{},
 		PeerLoads: map[NodeID][]TargetLoad{}, PeerStatusAt: map[NodeID]time.Duration{},
-		EraSince: -1, StoreRecoveredAt: -1, Demand: map[string]float64{}, PeerDemand: map[NodeID]map[string]float64{},
+		EraSince: -1, StoreRecoveredAt: -1, ListAnsweredAgainAt: -1, Demand: map[string]float64{}, PeerDemand: map[NodeID]map[string]float64{},
 	}
 	for i := range m.Tables {
 		m.Tables[i].AnsweredAt, m.Tables[i].FailedAt = -1, -1
@@ -131,6 +136,12 @@
 	return m.EraSince >= 0 && now-m.EraSince >= EraSettleTime
 }
 
+// StoreReturnedAt returns when the store last came back for this node, whether others had its
+// answers meanwhile or not; negative means never. Until then this node's list may have been old.
+func (m *ManagedState) StoreReturnedAt() time.Duration {
+	return max(m.StoreRecoveredAt, m.ListAnsweredAgainAt)
+}
+
 // IsPaused reports whether a process of a target has asked this node for a pause that
 // has not ended.
 func (m *ManagedState) IsPaused(now time.Duration, id HostID, startID int64) bool {
--- a/pkg/core/state/peerstatus.go
+++ b/pkg/core/state/peerstatus.go
@@ -70,6 +70,19 @@
 	// ClusterTotals is set when the counts cover all nodes, including the receiver.
 	// Otherwise they cover the sender and its leaves.
 	ClusterTotals bool `cbor:"8,keyasint,omitempty"`
+	// ListAnswers is nil if the sender knows of no answer.
+	ListAnswers *ListAnswers `cbor:"10,keyasint,omitempty"`
+}
+
+// ListAnswers is what a node knows about the answers of the store to calls for the list of
+// instances.
+type ListAnswers struct {
+	// Age is the time since the store last answered the sender, or in the status of a hub
+	// for its leaves any node; negative if it has answered none.
+	Age time.Duration `cbor:"1,keyasint"`
+	// UnbrokenFor is how long the store has answered nodes without an outage; 0 if the last
+	// answer is too old to tell.
+	UnbrokenFor time.Duration `cbor:"2,keyasint,omitempty"`
 }
 
 // ModelDemand is the demand for a model in engine seconds per second.
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -43,6 +43,7 @@
 	TargetLimitEnded        ID = 1027
 	StoreRecovered          ID = 1028
 	EntryRemovalDeferred    ID = 1029
+	StoreOutageWithdrawn    ID = 1030
 )
 
 // Events of peers: 1100 to 1199.
@@ -172,6 +173,7 @@
 	{TargetLimitEnded, Info, "limit of requests of a target ended"},
 	{StoreRecovered, Info, "platform's store answers calls for the list of instances again"},
 	{EntryRemovalDeferred, Info, "removal of an instance deferred after an outage of the store"},
+	{StoreOutageWithdrawn, Info, "peers were answered throughout an assumed outage of the store"},
 	{PeerUp, Info, "link to peer up"},
 	{PeerDown, Warn, "link to peer down"},
 	{PeerFrameMalformed, Warn, "malformed frame from peer, link closed"},
