Bound what the answers of one target may hold of a node's memory

Callers got 503 for sound replicas, up to 84,102 times in 2.5 s, while another replica of the service sent bodies without end (report of other operators).

Cause: each answer was read whole, up to 8 MiB, before anything was known of it, from the memory that all requests and answers share. Some 13 such answers filled it. No process ended.

A large answer that finds no memory waits for it. A success without a signature is dropped at its head, a failure without one after 64 KiB. Answers are kept in segments, so that they grow without a second copy.

--- a/pkg/gateway/routedattempt.go
+++ b/pkg/gateway/routedattempt.go
@@ -19,8 +19,6 @@
 )
 
 const (
-	// maxRoutedAnswerBytes bounds an unstreamed answer, which is buffered completely.
-	maxRoutedAnswerBytes = 8 << 20
 	// maxPartialEventBytes bounds the part of a stream event that has arrived while its
 	// end has not. Events hold a few tokens.
 	maxPartialEventBytes = 256 << 10
@@ -57,7 +55,7 @@
 	eventsBefore := e.eventsAtStall
 	if !start.KeepPrevious {
 		eventsBefore = e.deliveredEvents
-		g.releaseBuffer(e)
+		e.releaseBuffer()
 	}
 	return &routedAttempt{
 		gateway: g, exchange: e, start: start, ctx: ctx, lastEventID: e.lastEventID, eventsBefore: eventsBefore,
@@ -109,6 +107,10 @@
 	case a.result.AnswerStarted:
 		// A stream that has started cannot continue with another kind of answer.
 		a.result.Failure, a.result.InvalidAnswer = state.FailureConnectionLost, true
+	case res.StatusCode < http.StatusMultipleChoices && !metadata.Signed:
+		// A success that no target has signed is not sent to the caller, so its body is not
+		// read.
+		a.result.Failure, a.result.InvalidAnswer = state.FailureConnectionLost, true
 	default:
 		a.bufferAnswer(res, metadata)
 	}
@@ -117,17 +119,23 @@
 // bufferAnswer reads a complete answer into memory. The core decides whether the caller
 // receives it or another attempt follows.
 func (a *routedAttempt) bufferAnswer(res *http.Response, metadata AnswerMetadata) {
-	body, err := a.readAnswer(res)
-	switch {
-	case err != nil:
+	limit := int64(maxUnsignedAnswerBytes)
+	if metadata.Signed {
+		limit = min(maxRoutedAnswerBytes, a.gateway.memory.LargestAnswer()-1)
+	}
+	length := res.ContentLength
+	if res.Body == http.NoBody {
+		length = 0
+	}
+	held := a.gateway.memory.NewAnswerReservation(string(a.start.ExpectedInstance))
+	reader := answerReader{body: res.Body, limit: limit, held: held}
+	body, err := reader.read(a.ctx, length)
+	if err != nil {
+		held.Release()
 		a.fail(errors.Wrap(err, "read answer"))
 		return
-	case res.StatusCode < http.StatusMultipleChoices && !metadata.Signed:
-		// A success that no target has signed is not sent to the caller.
-		a.result.Failure, a.result.InvalidAnswer = state.FailureConnectionLost, true
-		return
 	}
-	a.keepBufferedAnswer(&bufferedAnswer{status: res.StatusCode, header: res.Header, body: body})
+	a.keepBufferedAnswer(&bufferedAnswer{status: res.StatusCode, header: res.Header, body: body, held: held})
 }
 
 // keepBufferedAnswer keeps a complete answer for the caller. Another attempt may still
@@ -137,9 +145,11 @@
 	e.answerMu.Lock()
 	defer e.answerMu.Unlock()
 	if !a.continuesAnswer() {
+		answer.held.Release()
 		a.supersede()
 		return
 	}
+	e.releaseBuffer()
 	e.bufferedAnswer = answer
 	a.result.AnswerBuffered, a.result.Outcome = true, apierror.Done
 	if answer.status >= http.StatusInternalServerError {
@@ -149,30 +159,14 @@
 	a.claimAnswer()
 }
 
-var (
-	errRoutedAnswerTooLarge = errors.New("the answer exceeds 8 MiB")
-	errPartialEventTooLarge = errors.New("a stream event exceeds 256 KiB")
-)
-
-// readAnswer reads a complete answer. The exchange holds its memory until releaseBuffer.
-func (a *routedAttempt) readAnswer(res *http.Response) ([]byte, error) {
-	length := res.ContentLength
-	if res.Body == http.NoBody {
-		length = 0
-	}
-	body, err := readAll(res.Body, length, maxRoutedAnswerBytes, a.exchange.answerMemory, answerPurpose)
-	if errors.Is(err, errTooLong) {
-		return nil, errRoutedAnswerTooLarge
-	}
-	return body, err
-}
-
-func answerPurpose(int64) memory.Purpose { return memory.Answer }
+var errPartialEventTooLarge = errors.New("a stream event exceeds 256 KiB")
 
 // releaseBuffer drops the buffered answer of an exchange.
-func (g *RoutedGateway) releaseBuffer(e *routedExchange) {
-	e.answerMemory.Release()
-	e.bufferedAnswer = nil
+func (e *routedExchange) releaseBuffer() {
+	if e.bufferedAnswer != nil {
+		e.bufferedAnswer.held.Release()
+		e.bufferedAnswer = nil
+	}
 }
 
 var (
@@ -193,13 +187,13 @@
 	defer a.clearDeadline(writer)
 	pending := make([]byte, 0, relayBufferBytes)
 	buffer := make([]byte, relayBufferBytes)
-	held := a.gateway.memory.NewReservation()
+	held := a.gateway.memory.NewAnswerReservation(string(a.start.ExpectedInstance))
 	defer held.Release()
 	for {
 		n, err := res.Body.Read(buffer)
 		if needed := len(pending) + n; needed > cap(pending) {
 			// The usual buffers are part of the memory of a connection.
-			if !held.Grow(int64(2*needed-cap(pending)), memory.Answer) {
+			if !held.Grow(int64(2*needed-cap(pending)), memory.AnswerPurpose(int64(needed))) {
 				a.fail(errMemoryFull)
 				return
 			}
--- a/pkg/gateway/routedgateway.go
+++ b/pkg/gateway/routedgateway.go
@@ -105,18 +105,10 @@
 	// bufferedAnswer is the complete answer of the last attempt. The caller receives it
 	// if the core's reply has UseBufferedAnswer.
 	bufferedAnswer *bufferedAnswer
-	// answerMemory is the memory of the buffered answer.
-	answerMemory *memory.Reservation
 	// lastEventID is the id of the last event that the caller has, or empty.
 	lastEventID string
 }
 
-type bufferedAnswer struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
 // ServeHTTP implements http.Handler.
 func (g *RoutedGateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if g.daemon.Draining() {
@@ -164,7 +156,6 @@
 	}
 	g.run(w, r, &routedExchange{
 		exchange: newExchange(request), routedRequest: routedRequest, lastEventID: routedRequest.LastEventID,
-		answerMemory: g.memory.NewReservation(),
 	})
 }
 
@@ -180,7 +171,7 @@
 // run submits a request to the core and executes its decisions until the reply.
 func (g *RoutedGateway) run(w http.ResponseWriter, r *http.Request, e *routedExchange) {
 	id := e.request.arrival.ID
-	defer g.releaseBuffer(e)
+	defer e.releaseBuffer()
 	e.callerConn = callerConnOf(r)
 	if e.hasCallerLeft() {
 		g.meter.RequestAbandoned(abandonedUnsubmitted)
@@ -233,9 +224,9 @@
 		g.writeRefusal(w, e.routedRequest.AttemptID, reply.Refusal)
 	case reply.UseBufferedAnswer && e.bufferedAnswer != nil:
 		copyEndToEndHeader(w.Header(), e.bufferedAnswer.header)
-		w.Header().Set("Content-Length", strconv.Itoa(len(e.bufferedAnswer.body)))
+		w.Header().Set("Content-Length", strconv.Itoa(e.bufferedAnswer.body.size()))
 		w.WriteHeader(e.bufferedAnswer.status)
-		_, _ = w.Write(e.bufferedAnswer.body)
+		e.bufferedAnswer.body.writeTo(w)
 	case !e.answerStarted:
 		g.writeRefusal(w, e.routedRequest.AttemptID, apierror.New(apierror.KindInternal, "no_answer",
 			"the request ended without an answer; check its effect before sending it again", apierror.Unknown))
--- a/pkg/gateway/twoattempts_test.go
+++ b/pkg/gateway/twoattempts_test.go
@@ -53,7 +53,7 @@
 	idle := newIdleGateway(t)
 	p := &routedPair{
 		g: NewWithT(t), gateway: NewRoutedGateway(idle.daemon, target.New(), nil, memory.NewBudget(1<<20), slog.New(slog.DiscardHandler)),
-		e: &routedExchange{exchange: newExchange(modelRequest(true)), answerMemory: memory.NewBudget(1 << 20).NewReservation()}, w: &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()},
+		e: &routedExchange{exchange: newExchange(modelRequest(true))}, w: &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()},
 		res: &http.Response{StatusCode: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}, Body: io.NopCloser(http.NoBody)},
 	}
 	p.writer = newEventWriter(p.w)
--- a/pkg/memory/memory.go
+++ b/pkg/memory/memory.go
@@ -10,8 +10,11 @@
 type Purpose int
 
 const (
-	// Answer is for requests that a target has run. Their answers would be lost.
+	// Answer is for answers to requests that a target has run, and which would be lost.
 	Answer Purpose = iota
+	// LargeAnswer is for answers of more than SmallBodyBytes. A faulty target may send
+	// such answers without end.
+	LargeAnswer
 	// SmallBody is for request bodies of at most SmallBodyBytes, so that large ones do
 	// not turn them away.
 	SmallBody
@@ -31,7 +34,7 @@
 }
 
 // ceilings is the part of a budget up to which memory is reserved for each purpose.
-var ceilings = map[Purpose]float64{Answer: 1, SmallBody: 0.75, LargeBody: 0.625}
+var ceilings = map[Purpose]float64{Answer: 1, LargeAnswer: 1, SmallBody: 0.75, LargeBody: 0.625}
 
 // DefaultProcessBytes is the memory of the smallest entry hosts of the platform.
 const DefaultProcessBytes = 184 << 20
@@ -61,12 +64,16 @@
 // Budget is the memory that all reservations share. Its methods may be called
 // concurrently.
 type Budget struct {
-	bytes int64
-	used  atomic.Int64
+	bytes   int64
+	used    atomic.Int64
+	answers answerShares
+	waiters waiters
 }
 
 // NewBudget returns a budget of a size in bytes.
-func NewBudget(bytes int64) *Budget { return &Budget{bytes: bytes} }
+func NewBudget(bytes int64) *Budget {
+	return &Budget{bytes: bytes, answers: answerShares{held: map[string]int64{}}}
+}
 
 // Used returns the reserved memory in bytes.
 func (b *Budget) Used() int64 { return b.used.Load() }
@@ -77,29 +84,57 @@
 // NewReservation returns an empty reservation.
 func (b *Budget) NewReservation() *Reservation { return &Reservation{budget: b} }
 
-// Reservation is the memory that one request holds. Its methods may be called
-// concurrently.
+// Reservation is the memory that one request, or one answer to it, holds. Its methods may be
+// called concurrently.
 type Reservation struct {
 	budget *Budget
 	held   atomic.Int64
+	// large is the part of held that was reserved for a large answer of target.
+	large  atomic.Int64
+	target string
 }
 
 // Grow reserves n more bytes and reports whether the budget allows it. If not, it reserves
 // nothing.
 func (r *Reservation) Grow(n int64, purpose Purpose) bool {
-	if r.budget.used.Add(n) > r.budget.Largest(purpose) {
-		r.budget.used.Add(-n)
+	b := r.budget
+	if purpose == LargeAnswer && !b.answers.grow(r.target, n, b.LargestAnswer()) {
+		return false
+	}
+	if b.used.Add(n) > b.Largest(purpose) {
+		b.used.Add(-n)
+		if purpose == LargeAnswer {
+			b.answers.shrink(r.target, n)
+		}
 		return false
 	}
 	r.held.Add(n)
+	if purpose == LargeAnswer {
+		r.large.Add(n)
+	}
 	return true
 }
 
-// Shrink gives n bytes back.
+// Shrink gives n bytes back, those of a large answer first.
 func (r *Reservation) Shrink(n int64) {
+	large := min(n, r.large.Load())
+	r.large.Add(-large)
 	r.held.Add(-n)
-	r.budget.used.Add(-n)
+	r.giveBack(n, large)
 }
 
 // Release gives all bytes back.
-func (r *Reservation) Release() { r.budget.used.Add(-r.held.Swap(0)) }
+func (r *Reservation) Release() {
+	if n, large := r.held.Swap(0), r.large.Swap(0); n != 0 {
+		r.giveBack(n, large)
+	}
+}
+
+// giveBack gives bytes back to the budget, some of them from a large answer.
+func (r *Reservation) giveBack(n, large int64) {
+	r.budget.used.Add(-n)
+	if large > 0 {
+		r.budget.answers.shrink(r.target, large)
+	}
+	r.budget.waiters.wake()
+}
