Do not take comments and empty events for the progress of a stream

Callers of a faulty group got comments or empty events until their deadline, in place of the answer of another group.

It was relayed at once, restarted the stall timer and emptied the buffer whose size is bounded.

Change: blocks without id and data belong to the event that follows them. They are held until it is complete, or the stream ends properly, and restart no timer.

Measured: TestStreamsWithoutEventsAreAbandoned, four texts, fast and slow, fail before and pass. TestCommentsOfStreamsArePassedOn passes before and after.

--- a/pkg/gateway/routedattempt.go
+++ b/pkg/gateway/routedattempt.go
@@ -185,7 +185,8 @@
 func (a *routedAttempt) relayStream(w http.ResponseWriter, res *http.Response) {
 	writer := newEventWriter(w)
 	defer a.clearDeadline(writer)
-	pending := make([]byte, 0, relayBufferBytes)
+	// The first checked bytes of pending hold no event.
+	pending, checked := make([]byte, 0, relayBufferBytes), 0
 	buffer := make([]byte, relayBufferBytes)
 	held := a.gateway.memory.NewAnswerReservation(string(a.start.ExpectedInstance))
 	defer held.Release()
@@ -200,7 +201,8 @@
 			pending = append(make([]byte, 0, 2*needed), pending...)
 		}
 		pending = append(pending, buffer[:n]...)
-		complete, rest := splitEvents(pending)
+		complete, rest, restChecked := splitEvents(pending, checked)
+		checked = restChecked
 		if len(complete) > 0 {
 			if !a.relayEvents(w, writer, res, complete) {
 				a.supersede()
@@ -214,7 +216,11 @@
 			// target that has begun no event looks the same.
 			a.fail(errNoEvent)
 			return
-		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(pending)) == 0:
+		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(pending[checked:])) == 0:
+			if checked > 0 && !a.relayEvents(w, writer, res, pending[:checked]) {
+				a.supersede()
+				return
+			}
 			a.completeStream(w, res)
 			return
 		case errors.Is(err, io.EOF):
@@ -239,13 +245,37 @@
 	}
 }
 
-// splitEvents splits a buffer into the complete events at its start and the rest.
-func splitEvents(b []byte) (complete, rest []byte) {
-	end := bytes.LastIndex(b, []byte("\n\n"))
-	if end < 0 {
-		return nil, b
+// splitEvents splits a buffer into the blocks up to the last complete event and the rest. The
+// first checked bytes hold complete blocks without an event, as do the first restChecked bytes
+// of the rest. Comments and empty events count as the beginning of the next event: they are no
+// progress of a stream, and may come without end.
+func splitEvents(b []byte, checked int) (complete, rest []byte, restChecked int) {
+	lastEvent := 0
+	for {
+		length := bytes.Index(b[checked:], blockEnd)
+		if length < 0 {
+			return b[:lastEvent], b[lastEvent:], checked - lastEvent
+		}
+		block := b[checked : checked+length]
+		checked += length + len(blockEnd)
+		if isEvent(block) {
+			lastEvent = checked
+		}
+	}
+}
+
+// blockEnd ends a block of lines.
+var blockEnd = []byte("\n\n")
+
+// isEvent reports whether a block of lines is an event with an id or data.
+func isEvent(block []byte) bool {
+	for line := range bytes.SplitSeq(block, []byte("\n")) {
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		if (string(name) == "id" || string(name) == "data") && len(bytes.TrimSpace(value)) > 0 {
+			return true
+		}
 	}
-	return b[:end+2], b[end+2:]
+	return false
 }
 
 // completeStream ends an attempt whose stream is complete. A stream without events is
@@ -325,7 +355,9 @@
 		end := bytes.Index(events, []byte("\n\n")) + 2
 		nextEvent := events[:end]
 		events = events[end:]
-		a.result.EventCount++
+		if isEvent(nextEvent) {
+			a.result.EventCount++
+		}
 		if id := eventID(nextEvent); id != "" {
 			if !isLater(id, a.exchange.lastEventID) {
 				continue
