Do not take answers that were given up for crashes of their targets

Sound requests, and all with the same first part of the prompt, could be refused as having crashed targets.

Cause: an attempt that this node had ended, since its answer was too long or found no memory, was reported like a lost connection before the answer, which is the evidence that a target ended while it ran the request.

Change: such an attempt reports that its target goes on.

That a request got into quarantine in this way was not seen; it follows from isCrash in pkg/core/quarantine.

--- a/pkg/core/state/input.go
+++ b/pkg/core/state/input.go
@@ -243,8 +243,8 @@
 	// LongestGap is the longest time between two deliveries of events to the caller, over
 	// all attempts. It is set when the attempt has ended.
 	LongestGap time.Duration
-	// InvalidAnswer is set if the target sent an answer that is not its answer to this
-	// request, so that it has not ended.
+	// InvalidAnswer is set if the target sent what is not its answer to this request, or more
+	// than this node can hold. The target has not ended.
 	InvalidAnswer bool
 }
 
--- a/pkg/gateway/routedattempt.go
+++ b/pkg/gateway/routedattempt.go
@@ -91,6 +91,8 @@
 	if errors.Is(context.Cause(a.ctx), errCancelled) || errors.Is(err, target.ErrAbandoned) {
 		a.result.Failure = state.FailureCancelled
 	}
+	// This node has ended the attempt, and the target goes on.
+	a.result.InvalidAnswer = errors.Is(err, errTooLong) || errors.Is(err, errMemoryFull) || errors.Is(err, errPartialEventTooLarge)
 }
 
 // receive processes the answer of the target.
