Free the members of a group whose leader nobody knows

Cause: members name their former group for good. To a node that has not seen its leader, and whose list has no entry of rank 0, the phase of the group was unknown, which freed no member and had no end.

Change: after 3 s without an entry of the leader the members are ordered to leave; 5.5 s later, when any leader must have broken, they are free. The holder checks that each host that answers is in a serving group, in one that is being formed, or free, within 15 s of its last change, and reports it otherwise (event 1230, apricotgrade_unassigned_hosts).

--- a/pkg/core/formation/formation.go
+++ b/pkg/core/formation/formation.go
@@ -72,6 +72,8 @@
 	// hostCount is the number of hosts at the last tick, unchanged since hostCountSince.
 	hostCount      int
 	hostCountSince time.Duration
+	// nextUnassignedCheckAt is when this node next looks for hosts that it does not use.
+	nextUnassignedCheckAt time.Duration
 }
 
 // New returns the formation system.
@@ -170,6 +172,7 @@
 		}
 		s.stageHosts(now, service, free, out)
 	}
+	s.checkUnassigned(now, out)
 }
 
 // plan is a group that this node is forming.
--- a/pkg/core/formation/group.go
+++ b/pkg/core/formation/group.go
@@ -25,6 +25,10 @@
 	// entryCatchUpTime is how long after a store outage hosts may take to write
 	// their pending entries. The platform specifies 2 s.
 	entryCatchUpTime = 2 * time.Second
+	// unknownLeaderTimeout is how long the leader of a group may be missing from the list of
+	// instances that this node has read, before the members are ordered to leave. Entries that
+	// expired in an outage return within entryCatchUpTime.
+	unknownLeaderTimeout = entryCatchUpTime + unknownMemberTimeout
 	// groupRetention is how long a group is kept after the last entry that names
 	// it.
 	groupRetention = 20 * time.Second
@@ -85,6 +89,12 @@
 	return gracefulCloseTimeout
 }
 
+// hasBroken reports whether the leader has stalled for so long that it does not serve, whether
+// this node knows it or not.
+func (g *group) hasBroken(now time.Duration) bool {
+	return g.memberLeftAt > 0 && now-g.memberLeftAt > leaderBreakTime
+}
+
 func (g *group) leader() state.HostID {
 	if len(g.members) == 0 {
 		return ""
@@ -229,7 +239,7 @@
 	leader := s.hosts.get(g.leader())
 	switch {
 	case leader == nil:
-		return state.MemberNone, g.leader() != ""
+		return state.MemberNone, g.leader() != "" || g.hasBroken(now)
 	case g.leaderGone:
 		return state.MemberNone, true
 	case leader.row != nil && (leader.row.Membership.Group != g.id || leader.row.Membership.Epoch != g.epoch):
@@ -240,7 +250,7 @@
 		return g.reportedPhase, true
 	case !g.opened && s.wasNeverOpened(g):
 		return state.MemberNone, true
-	case g.memberLeftAt > 0 && now-g.memberLeftAt > leaderBreakTime:
+	case g.hasBroken(now):
 		return state.MemberNone, true
 	}
 	return state.MemberOpen, false
@@ -254,6 +264,10 @@
 		return
 	}
 	phase, known := s.leaderPhase(now, g)
+	if s.isLeaderUnknown(now, g) && !g.hasBroken(now) {
+		s.orderMembersToLeave(now, g, out)
+		return
+	}
 	leader := s.hosts.get(g.leader())
 	if leader != nil && leader.row == nil && !leader.dead && g.opened && (!known || phase == state.MemberOpen) {
 		s.probe(now, leader, out)
@@ -282,6 +296,14 @@
 	}
 }
 
+// isLeaderUnknown reports whether no entry has named this group as that of its leader for
+// unknownLeaderTimeout. The leader is in another group, or its entry has gone: members notice
+// neither and name their group for good. A node that has seen the leader knows more, but may
+// have ended since.
+func (s *System) isLeaderUnknown(now time.Duration, g *group) bool {
+	return g.leader() == "" && now-max(g.firstSeenAt, s.managed.StoreReturnedAt()) > unknownLeaderTimeout
+}
+
 func (s *System) startRetiring(now time.Duration, g *group, reason string, closeImmediately bool, out *state.Outbox, attrs ...slog.Attr) {
 	g.retiring, g.closeImmediately, g.retiredAt = true, closeImmediately, now
 	out.Log(event.GroupRetired, append([]slog.Attr{slog.String("group", string(g.id)), slog.Uint64("epoch", g.epoch),
--- a/pkg/core/formation/host.go
+++ b/pkg/core/formation/host.go
@@ -85,6 +85,12 @@
 	stagingModel string
 	stagingSince time.Duration
 	backoffUntil time.Duration
+	// unassignedSince is since when the host is not used although it answers, and
+	// unassignedGroup the group that it names; 0 and nil while it is used.
+	// unassignedReported is set once that was logged.
+	unassignedSince    time.Duration
+	unassignedGroup    *group
+	unassignedReported bool
 }
 
 // endStaging ends the staging of a model once the entry of the host shows it.
--- a/pkg/core/formation/latejoin_test.go
+++ b/pkg/core/formation/latejoin_test.go
@@ -51,7 +51,8 @@
 
 // TestHostsServeInOneGroupUnderLateOrders guards against a host in two groups while hosts
 // leave orders unanswered and carry them out seconds later, hosts are lost and the lease
-// holder restarts. It plays the disruptions at random times.
+// holder restarts, and against hosts that are never used again. It plays the disruptions at
+// random times.
 func TestHostsServeInOneGroupUnderLateOrders(t *testing.T) {
 	for seed := range uint64(40) {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
@@ -70,6 +71,7 @@
 			for step := range 120 {
 				r.run(500 * time.Millisecond)
 				r.tables.Managed.TrafficStarted = step > 20
+				g.Expect(r.unassignedHosts()).To(gomega.BeEmpty(), "at %v", r.now)
 				switch action := rng.IntN(12); {
 				case action == 0:
 					lateUntil = r.now + 11*time.Second
--- a/pkg/core/formation/lease.go
+++ b/pkg/core/formation/lease.go
@@ -352,6 +352,7 @@
 	}
 	for _, h := range s.hosts.all() {
 		h.plan = nil
+		s.endUnassigned(h, out)
 	}
 	out.Log(event.FormationLeaseLost, slog.String("reason", reason), slog.Uint64("fence", uint64(s.lease.row.FencingToken)))
 }
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -86,6 +86,8 @@
 	HostOrderAnswered      ID = 1227
 	HostUnresponsive       ID = 1228
 	HostResponsive         ID = 1229
+	HostUnassigned         ID = 1230
+	HostAssigned           ID = 1231
 )
 
 // Events of requests: 1300 to 1399.
@@ -206,6 +208,8 @@
 	{HostOrderAnswered, Info, "order to a host ended"},
 	{HostUnresponsive, Warn, "host does not answer"},
 	{HostResponsive, Info, "host answers again"},
+	{HostUnassigned, Warn, "host answers but is neither in a serving group nor free for one"},
+	{HostAssigned, Info, "host is in a serving group or free for one again"},
 	{RequestRefused, Info, "request refused"},
 	{AttemptFailed, Warn, "attempt failed"},
 	{ClaimOutcomeUnknown, Error, "outcome of an at-most-once request is unknown"},
--- a/pkg/metric/managed.go
+++ b/pkg/metric/managed.go
@@ -12,19 +12,21 @@
 
 // managedMetrics counts the events of a managed node, whose platform holds the
 // configuration: host orders, host reports, table calls, refusal codes and group
-// changes. It also holds the numbers of prompt parts and requests in quarantine and of
-// targets that name a limit.
+// changes. It also holds the numbers of prompt parts and requests in quarantine, of
+// targets that name a limit and of hosts that are not used.
 type managedMetrics struct {
 	set                 *metrics.Set
 	quarantinedParts    *metrics.Gauge
 	quarantinedRequests *metrics.Gauge
 	limitedTargets      *metrics.Gauge
+	unassignedHosts     *metrics.Gauge
 }
 
 func newManagedMetrics(set *metrics.Set) *managedMetrics {
 	return &managedMetrics{
 		set: set, quarantinedParts: set.NewGauge("apricotgrade_quarantined_prompt_parts", nil),
 		quarantinedRequests: set.NewGauge("apricotgrade_quarantined_requests", nil), limitedTargets: set.NewGauge("apricotgrade_limited_targets", nil),
+		unassignedHosts: set.NewGauge("apricotgrade_unassigned_hosts", nil),
 	}
 }
 
@@ -69,6 +71,10 @@
 			m.limitedTargets.Inc()
 		case event.TargetLimitEnded:
 			m.limitedTargets.Dec()
+		case event.HostUnassigned:
+			m.unassignedHosts.Inc()
+		case event.HostAssigned:
+			m.unassignedHosts.Dec()
 		}
 	}
 }
