Judge parts of prompts by starts of requests that have parts

Cause: a part that was sound a moment ago waits for 40 starts of other requests before it is judged. Starts of orders were counted too, which go on while no group is left and no prompt can start.

Change: starts are counted for each kind of trait.

--- a/pkg/core/quarantine/ledger.go
+++ b/pkg/core/quarantine/ledger.go
@@ -18,11 +18,12 @@
 	// reviewTime is how long no request with a trait in quarantine must have arrived
 	// before the next one is run. One more crash then puts the trait back at once.
 	reviewTime = 10 * time.Minute
-	// minOtherStarts is how many requests without the trait must have started at this
-	// node since the third crash if the trait started here in the last minute. When many
-	// targets are lost at the same moment, as by a reset of the node's own connections,
-	// a trait that many requests have may crash at three of them before any request can
-	// start again.
+	// minOtherStarts is how many requests without the trait, but with traits of its kind,
+	// must have started at this node since the third crash if the trait started here in
+	// the last minute. When many targets are lost at the same moment, as by a reset of the
+	// node's own connections, a trait that many requests have may crash at three of them
+	// before any request can start again. Plain services go on meanwhile: their starts say
+	// nothing of parts of prompts.
 	minOtherStarts = 40
 	// maxTraits, for each kind, and maxCrashesPerTrait bound the memory. Traits without
 	// crashes take none.
@@ -52,8 +53,8 @@
 	// pending holds the traits with minCrashes that wait for other starts.
 	pending map[state.Trait]bool
 	recent  [state.TraitKinds]recentTraits
-	// starts counts the starts at this node.
-	starts      uint64
+	// starts counts the starts at this node of requests with traits of each kind.
+	starts      [state.TraitKinds]uint64
 	transitions []Transition
 	nextPurgeAt time.Duration
 }
@@ -65,7 +66,7 @@
 	knownAt time.Duration
 	// reviewed is set after a quarantine has ended without a start.
 	reviewed bool
-	// startsBefore is the number of starts at this node when the trait became pending.
+	// startsBefore is the number of starts of its kind when the trait became pending.
 	startsBefore uint64
 }
 
@@ -153,7 +154,7 @@
 // that were known when the request was sent: it had not ended. Start returns what peers
 // do not know.
 func (l *Ledger) Start(now time.Duration, process Process, sentAt time.Duration, traits []state.Trait) []state.TraitCrash {
-	l.starts++
+	l.countStart(traits)
 	var clears []state.TraitCrash
 	for _, trait := range traits {
 		l.recent[trait.Kind].add(now, trait)
@@ -171,6 +172,17 @@
 	return clears
 }
 
+// countStart counts a start once for each kind of the traits of its request.
+func (l *Ledger) countStart(traits []state.Trait) {
+	var counted [state.TraitKinds]bool
+	for _, trait := range traits {
+		if !counted[trait.Kind] {
+			counted[trait.Kind] = true
+			l.starts[trait.Kind]++
+		}
+	}
+}
+
 // clear clears the crashes of a trait at the selected processes.
 func (l *Ledger) clear(now time.Duration, trait state.Trait, selects func(Process) bool) []state.TraitCrash {
 	record := l.records[trait]
@@ -226,9 +238,9 @@
 		if !l.recent[trait.Kind].has(now, trait) {
 			return false
 		}
-		l.pending[trait], record.startsBefore = true, l.starts
+		l.pending[trait], record.startsBefore = true, l.starts[trait.Kind]
 	}
-	return l.starts-record.startsBefore < minOtherStarts
+	return l.starts[trait.Kind]-record.startsBefore < minOtherStarts
 }
 
 // count returns the number of crashes that are not cleared.
--- a/pkg/core/quarantine/ledger_test.go
+++ b/pkg/core/quarantine/ledger_test.go
@@ -122,6 +122,22 @@
 	g.Expect(l.Quarantined()).To(gomega.BeEmpty())
 }
 
+// TestStartsOfPlainServicesSayNothingOfParts guards against the refusal of a sound part that many
+// requests have, because orders go on while all groups are lost.
+func TestStartsOfPlainServicesSayNothingOfParts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := NewLedger()
+	l.Start(time.Second, process(0), 0, parts(first))
+	for i := range minCrashes {
+		l.Crash(2*time.Second, process(i), parts(first, faulty))
+	}
+	for i := range 10 * minOtherStarts {
+		l.Start(4*time.Second, process(20), 3*time.Second, []state.Trait{{Kind: state.RequestTrait, ID: uint64(i)}})
+	}
+	g.Expect(l.Quarantined()).To(gomega.HaveKey(faulty))
+	g.Expect(l.Quarantined()).NotTo(gomega.HaveKey(first))
+}
+
 // TestPartThatWasSoundIsQuarantined guards against a part that is never judged because
 // its requests started well before.
 func TestPartThatWasSoundIsQuarantined(t *testing.T) {
