Suspect streams that are lost before their head at processes that end

Cause: for a stream only a loss after the head was evidence, because requests that wait at a group that ends, and answers that are not HTTP, are lost without a head too.

Change: such a loss makes the request suspect, and counts as a crash once the entry of the process has expired or another process has its ID. A later answer of the process drops the suspicion. Parts of prompts are left out.

--- a/pkg/core/quarantine/quarantine.go
+++ b/pkg/core/quarantine/quarantine.go
@@ -29,11 +29,13 @@
 	managed *state.ManagedState
 	ledger  *Ledger
 	rows    rowKeeper
+	// suspicions holds losses that are evidence once their process has ended.
+	suspicions suspicions
 }
 
 // New returns the quarantine system.
 func New(t *state.Tables) *System {
-	s := &System{tables: t, managed: t.Managed, ledger: NewLedger(), rows: rowKeeper{known: map[string]state.Trait{}}}
+	s := &System{tables: t, managed: t.Managed, ledger: NewLedger(), rows: rowKeeper{known: map[string]state.Trait{}}, suspicions: suspicions{}}
 	s.managed.Quarantined = s.ledger.Quarantined()
 	return s
 }
@@ -59,6 +61,7 @@
 			s.ledger.Arrive(at, trait)
 		}
 		s.ledger.Tick(now)
+		s.confirmSuspicions(now, out)
 		s.writeRows(now, out)
 	}
 	s.logTransitions(from, out)
@@ -75,6 +78,9 @@
 		return
 	}
 	process := Process{Host: state.HostID(attempt.Target), StartID: attempt.StartID}
+	if isStart(ev) || isAnswer(ev) {
+		s.suspicions.clear(process, attempt.SentAt)
+	}
 	switch {
 	case isStart(ev):
 		s.spread(s.ledger.Start(now, process, attempt.SentAt, req.Traits), "", out)
@@ -82,6 +88,8 @@
 		s.spread(s.ledger.Start(now, process, attempt.SentAt, ofKind(req.Traits, state.RequestTrait)), "", out)
 	case isCrash(req, ev) && req.Phase != state.RequestEnded && !req.AnswerStarted:
 		s.spread(s.ledger.Crash(now, process, req.Traits), "", out)
+	case ev.LostBeforeAnswer() && req.Phase != state.RequestEnded && !req.AnswerStarted:
+		s.recordHeadlessLoss(now, process, req.Traits)
 	}
 }
 
--- /dev/null
+++ b/pkg/core/quarantine/suspicion.go
@@ -0,0 +1,90 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+)
+
+const (
+	// suspicionTimeout is how long the end of a process may take to show after a stream was lost
+	// there before its head: entries expire after 3.6 s, and return for 2 s after an outage.
+	suspicionTimeout = 8 * time.Second
+	// maxSuspicions bounds the processes whose end is awaited.
+	maxSuspicions = 256
+)
+
+// suspicions holds the streams that were lost before the head of their answer, by the process
+// that they were sent to. Such a loss is evidence only if the process has ended: an answer that
+// is not HTTP, or a connection that was cut, looks the same.
+type suspicions map[Process]*suspicion
+
+type suspicion struct {
+	at     time.Duration
+	traits []state.Trait
+}
+
+// add records the loss of a stream with some traits at a process.
+func (s suspicions) add(now time.Duration, process Process, traits []state.Trait) {
+	known := s[process]
+	switch {
+	case known != nil:
+		known.traits = append(known.traits, traits...)
+	case len(s) < maxSuspicions:
+		s[process] = &suspicion{at: now, traits: traits}
+	}
+}
+
+// clear drops the suspicion on a process that has answered a request sent after the loss.
+func (s suspicions) clear(process Process, sentAt time.Duration) {
+	if known := s[process]; known != nil && sentAt > known.at {
+		delete(s, process)
+	}
+}
+
+// take removes the suspicion on a process that has ended and returns the traits.
+func (s suspicions) take(process Process) []state.Trait {
+	known := s[process]
+	delete(s, process)
+	if known == nil {
+		return nil
+	}
+	return known.traits
+}
+
+// recordHeadlessLoss suspects the request of a stream that was lost before its head. Its parts are
+// not suspected, since the requests that only wait at a target which ends are lost in the same
+// way and share them.
+func (s *System) recordHeadlessLoss(now time.Duration, process Process, traits []state.Trait) {
+	if row := s.managed.Instances.Get(process.Host); row != nil && row.StartID == process.StartID {
+		s.suspicions.add(now, process, ofKind(traits, state.RequestTrait))
+	}
+}
+
+// confirmSuspicions turns the suspicions on processes that have ended into crashes.
+func (s *System) confirmSuspicions(now time.Duration, out *state.Outbox) {
+	for process, suspicion := range s.suspicions {
+		if now-suspicion.at > suspicionTimeout {
+			delete(s.suspicions, process)
+		}
+	}
+	ended := make([]Process, 0, len(s.suspicions))
+	for process := range s.suspicions {
+		if row := s.managed.Instances.Get(process.Host); row == nil || row.StartID != process.StartID {
+			ended = append(ended, process)
+		}
+	}
+	slices.SortFunc(ended, func(a, b Process) int { return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.StartID, b.StartID)) })
+	for _, process := range ended {
+		s.confirm(now, process, out)
+	}
+}
+
+// confirm records the end of a process.
+func (s *System) confirm(now time.Duration, process Process, out *state.Outbox) {
+	if traits := s.suspicions.take(process); len(traits) > 0 {
+		s.spread(s.ledger.Crash(now, process, traits), "", out)
+	}
+}
