--- a/pkg/core/inventory/answers.go
+++ b/pkg/core/inventory/answers.go
@@ -8,9 +8,10 @@
 	"github.com/apricotgrade/apricotgrade/pkg/event"
 )
 
-// maxAnswerGap is the longest time between two answers to calls for the list of instances, by
-// any nodes, in which no entry can have expired because its instance could not renew it: entries
-// expire after three heartbeats of 1.2 s, and the first of these may have preceded the gap.
+// maxAnswerGap is the longest time between two answers to calls for the list of instances, of
+// any nodes, in which no entry can have expired because its instance could not renew it: an entry
+// expires after three heartbeats of 1.2 s without a write, and up to one of these may have passed
+// before the gap.
 const maxAnswerGap = 2400 * time.Millisecond
 
 // never stands for the time of an event that has not happened.
@@ -46,8 +47,7 @@
 // lastAt returns when a call of any node was last answered.
 func (a *listAnswers) lastAt() time.Duration { return max(a.ownAt, a.peerAt) }
 
-// isContinuous reports whether the store has answered recently enough that no outage can have
-// begun that matters.
+// isContinuous reports whether the last answer to any node is at most maxAnswerGap old.
 func (a *listAnswers) isContinuous(now time.Duration) bool {
 	return a.lastAt() >= 0 && now-a.lastAt() <= maxAnswerGap
 }
@@ -118,12 +118,18 @@
 	}
 	s.managed.StoreRecoveredAt, s.answers.unbrokenSince, s.answers.inferred = inferred.recoveredAt, inferred.unbrokenSince, nil
 	out.Log(event.StoreOutageWithdrawn, slog.Duration("unbroken_for", unbrokenFor))
+	var deferred []state.HostID
 	for id, ok := s.expiredInstances.Pop(now + entryReturnTime); ok; id, ok = s.expiredInstances.Pop(now + entryReturnTime) {
-		s.deleteInstance(now, id)
+		deferred = append(deferred, id)
+	}
+	for _, id := range deferred {
+		// It waits on if the outage before that is recent too.
+		s.removeInstance(now, id, out)
 	}
 }
 
-// restartAnswers records that the store has come back from a copy, which no peer can refute.
+// restartAnswers records that the store has come back from a copy. The answers to peers before that
+// show nothing.
 func (s *System) restartAnswers(now time.Duration) {
 	s.answers.inferred, s.answers.unbrokenSince = nil, now
 }
--- a/pkg/core/inventory/answers_test.go
+++ b/pkg/core/inventory/answers_test.go
@@ -130,6 +130,26 @@
 	}
 }
 
+// TestWithdrawalKeepsTheOutageBefore guards against removals that are carried out at once after an
+// outage, because a failed call that followed it turned out to be one of this node alone.
+func TestWithdrawalKeepsTheOutageBefore(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig("n01", 2)
+	r.feedChanges(state.InstanceTable, 110, instanceRow("i2", 110))
+	fail := func(d time.Duration) {
+		r.failStore()
+		r.advance(d)
+	}
+	fail(5 * time.Second)
+	r.feedChanges(state.InstanceTable, 120, instanceRow("i2", 120))
+	fail(500 * time.Millisecond)
+	r.feedChanges(state.InstanceTable, 130, removal("i1", 130))
+	r.receivePeerStatus("n00", state.PeerStatus{TableRevisions: []uint64{1, 1, 1}, ListAnswers: &state.ListAnswers{Age: 0, UnbrokenFor: 500 * time.Millisecond}})
+	g.Expect(r.managed.Instances.Get("i1")).NotTo(gomega.BeNil())
+	r.advance(entryReturnTime - 500*time.Millisecond)
+	g.Expect(r.managed.Instances.Get("i1")).To(gomega.BeNil())
+}
+
 // TestOutageOfEarlierEraIsNotWithdrawn guards against taking back that the store came back from
 // a copy on the word of a peer.
 func TestOutageOfEarlierEraIsNotWithdrawn(t *testing.T) {
--- a/pkg/peer/links_test.go
+++ b/pkg/peer/links_test.go
@@ -197,8 +197,10 @@
 func TestUnresponsiveLinkIsClosed(t *testing.T) {
 	g := NewWithT(t)
 	a := startNode(t, "a", 1, "k")
-	// The client does not read, so it answers no ping.
-	dialRaw(g, a, "k")
+	// The client does not read, so it answers no ping. If it were dropped, the garbage collector
+	// could close its connection before the link times out.
+	client := dialRaw(g, a, "k")
+	defer func() { _ = client.Close() }()
 	g.Eventually(func() bool { return a.hasLink("z") }, eventuallyTimeout).Should(BeTrue())
 	linkedAt := time.Now()
 	g.Eventually(func() int { _, down, _ := a.countInputs(); return down }, eventuallyTimeout).Should(Equal(1))
