Use one way to restart the node of the formation tests

Cause: unknownleader_test.go had a second copy of restart. Change: it uses that of latejoin_test.go. Measured: the tests of the package pass.

--- a/pkg/core/formation/unknownleader_test.go
+++ b/pkg/core/formation/unknownleader_test.go
@@ -9,12 +9,6 @@
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 )
 
-// restartNode replaces the node by one that has seen nothing of the past.
-func (r *rig) restartNode() {
-	r.system = New(r.tables)
-	r.inputs = nil
-}
-
 // hostFreeTime is how long the hosts of an unknown leader may take to be free: until its entry
 // can no longer return, and until it has broken after they have left.
 const hostFreeTime = unknownLeaderTimeout + leaderBreakTime + time.Second
@@ -28,7 +22,7 @@
 	leader := r.memberOf(large, 0)
 	r.hosts[leader].refusing = true
 	r.expireEntry(leader)
-	r.restartNode()
+	r.restart()
 	r.run(hostFreeTime + 3*time.Second)
 	g.Expect(len(r.idleHosts(r.hosts[leader].row.Domain))).To(gomega.BeNumerically("<=", 2), "the lost leader and one that is left over")
 	g.Expect(r.violations).To(gomega.BeEmpty())
@@ -47,7 +41,7 @@
 		h.row.Membership = state.Membership{Group: "former", Epoch: 1, Rank: rank + 2, Phase: state.MemberReady}
 		r.publish(h)
 	}
-	r.restartNode()
+	r.restart()
 	r.run(hostFreeTime + 2*time.Second)
 	g.Expect(r.idleHosts("d-idle")).To(gomega.BeEmpty())
 	g.Expect(r.violations).To(gomega.BeEmpty())
@@ -64,7 +58,7 @@
 	group := r.hosts[leader].row.Membership
 	r.expireEntry(leader)
 	r.tables.Managed.Instances.Delete(leader)
-	r.restartNode()
+	r.restart()
 	ordersBefore := len(r.orders)
 	ordersOfMembers := func() (operations []state.HostOperation) {
 		for _, o := range r.orders[ordersBefore:] {
@@ -85,7 +79,7 @@
 	leader = r.memberOf(large, 0)
 	group = r.hosts[leader].row.Membership
 	r.expireEntry(leader)
-	r.restartNode()
+	r.restart()
 	r.run(entryCatchUpTime)
 	ordersBefore = len(r.orders)
 	r.hosts[leader].listed = true
@@ -115,7 +109,7 @@
 	r.hosts[leader].unresponsive = true
 	r.hosts[leader].row.Membership.Phase = state.MemberReady
 	r.publish(r.hosts[leader])
-	r.restartNode()
+	r.restart()
 	r.run(unassignedHostTimeout + 3*time.Second)
 	g.Expect(r.unassignedHosts()).To(gomega.HaveLen(3))
 	r.hosts[leader].unresponsive = false
