--- a/pkg/core/formation/unassigned.go
+++ b/pkg/core/formation/unassigned.go
@@ -10,9 +10,9 @@
 
 const (
 	// unassignedHostTimeout is how long a host that answers may be neither in a group that
-	// serves or is being formed, nor free for one, since it last changed its group. The longest
-	// way is that of the members of a
-	// leader that nobody knows, 8.5 s; a group that is to end finishes its work within 6 s.
+	// serves or is being formed, nor free for one, since it last changed its group. Members of a
+	// leader that nobody knows take longest, 8.5 s; a group that is to end finishes its work
+	// within 6 s.
 	unassignedHostTimeout = 15 * time.Second
 	// unassignedCheckPeriod is the interval between looks for such hosts.
 	unassignedCheckPeriod = time.Second
