--- a/pkg/core/formation/era_test.go
+++ b/pkg/core/formation/era_test.go
@@ -92,6 +92,24 @@
 	g.Expect(r.system.lease.row.FencingToken).To(gomega.BeNumerically(">", own.FencingToken))
 }
 
+// TestLateWriteOfTheLeaseIsNotHeld guards against a lease that was requested in an era of the store
+// which ended before the store took the call. Its token may be that of another holder.
+func TestLateWriteOfTheLeaseIsNotHeld(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t)
+	r.startTraffic()
+	late := r.system.lease.row
+	late.FencingToken++
+	r.restoreStore(late, false)
+	var out state.Outbox
+	r.system.checkLeaseEra(r.now, &out)
+	r.system.applyLeaseRow(late, r.revision, r.now, &out)
+	g.Expect(r.system.holdsLease(r.now)).To(gomega.BeFalse())
+	r.run(300 * time.Millisecond)
+	g.Expect(r.system.holdsLease(r.now)).To(gomega.BeTrue())
+	g.Expect(r.system.lease.row.FencingToken).To(gomega.BeNumerically(">", late.FencingToken))
+}
+
 // TestHandoverEndsWithTheEra guards against a lease that is handed over in an outage
 // from which the store has come back without it.
 func TestHandoverEndsWithTheEra(t *testing.T) {
