Try quarantined traits again while their requests arrive

Change: from ten minutes after the last crash of a trait the nodes take turns of 30 s, by the order of their IDs, and each runs one request with it in its turn: one attempt, no repeat, no failover. Its start releases the trait at all nodes, as any start does. A crash puts the next trial off by ten minutes and ends a trial that is open elsewhere. Retry-After names the next turn of the node. Event 1314 names the request; 1310 and 1312 have "tried" after a trial that ended its target. A quarantine without requests ends as before.

--- a/pkg/core/dispatch/dispatch.go
+++ b/pkg/core/dispatch/dispatch.go
@@ -99,6 +99,8 @@
 	// quarantineVersion is the QuarantineVersion up to which open requests have been
 	// ended.
 	quarantineVersion uint64
+	// trials holds the last trial of each trait in quarantine at this node.
+	trials map[state.Trait]trial
 	// admissionClosesAt is negative until a shutdown starts.
 	admissionClosesAt time.Duration
 }
@@ -109,7 +111,7 @@
 		tables: t, managed: t.Managed, targets: map[state.HostID]*target{}, pools: map[poolKey]*targetPool{},
 		activeRequests: map[state.RequestID]*activeRequest{}, retryBudgets: map[string]*retryBudget{},
 		deadlines: state.NewDueQueue[state.RequestID](), failovers: state.NewDueQueue[state.RequestID](),
-		deletions: state.NewDueQueue[state.RequestID](), demand: map[string]*decayingRate{}, admissionClosesAt: -1,
+		deletions: state.NewDueQueue[state.RequestID](), demand: map[string]*decayingRate{}, trials: map[state.Trait]trial{}, admissionClosesAt: -1,
 		changedNodes: t.Managed.Nodes.Subscribe(), heldPrompts: newHeldPrompts(&t.Self),
 	}
 	s.pickOnRelayed = s.pickOnRelayedCounts
@@ -158,7 +160,7 @@
 	req := &state.Request{Arrival: arrival, ArrivedAt: now, Deadline: now + arrival.Routed.Timeout}
 	s.tables.Requests.Put(arrival.ID, req)
 	s.managed.TrafficStarted = true
-	if refusal := s.admit(now, req); refusal != nil {
+	if refusal := s.admit(now, req, out); refusal != nil {
 		s.refuse(now, req, refusal, out)
 		return
 	}
@@ -177,7 +179,7 @@
 
 // admit sets the route, the client account, the service and the deadline of a
 // request, or returns the error with which it is refused.
-func (s *System) admit(now time.Duration, req *state.Request) *apierror.Error {
+func (s *System) admit(now time.Duration, req *state.Request, out *state.Outbox) *apierror.Error {
 	routed := req.Arrival.Routed
 	switch {
 	case s.managed.PlatformConfig == nil || s.index == nil:
@@ -209,7 +211,7 @@
 	if route.Timeout > 0 {
 		req.Deadline = min(req.Deadline, now+route.Timeout)
 	}
-	return s.checkTraits(now, req)
+	return s.checkTraits(now, req, out)
 }
 
 // checkSize returns an error if a request exceeds the configured size limits. A
--- a/pkg/core/quarantine/doc.go
+++ b/pkg/core/quarantine/doc.go
@@ -18,7 +18,9 @@
 // start is the first event of any request with the trait, or of a whole request its
 // complete answer: it clears the trait's crashes. Sound traits start all the time, the one
 // at fault never does. A trait is put into quarantine after crashes of three processes
-// without a start. Of the plainer rules, quarantine at the first crash takes in the sound
+// without a start. From some minutes after its last crash the nodes take turns to try one
+// request with it, so that a trait that was put there wrongly, or whose targets have been
+// mended, is released while its requests go on arriving. Of the plainer rules, quarantine at the first crash takes in the sound
 // traits of each request that was lost at that moment, and a quarantine of the first part
 // or of the client account all requests that share it with the part at fault.
 package quarantine
--- a/pkg/core/quarantine/ledger.go
+++ b/pkg/core/quarantine/ledger.go
@@ -15,8 +15,9 @@
 	// faulty only if its requests are lost three times in a row in the short time
 	// between the beginning of their answer and its first event.
 	minCrashes = 3
-	// reviewTime is how long no request with a trait in quarantine must have arrived
-	// before the next one is run. One more crash then puts the trait back at once.
+	// reviewTime is the time from the last crash of a trait in quarantine to the next trial, and
+	// how long no request with the trait must have arrived before its quarantine ends. After
+	// that, one more crash puts the trait back at once.
 	reviewTime = 10 * time.Minute
 	// minOtherStarts is how many requests without the trait, but with traits of its kind,
 	// must have started at this node since the third crash if the trait started here in
@@ -45,7 +46,8 @@
 // Ledger holds the evidence on traits and decides which of them are in quarantine. It does not depend on the order in which crashes and clears arrive.
 type Ledger struct {
 	records map[state.Trait]*traitRecord
-	// quarantined holds the traits in quarantine with the time of their review.
+	// quarantined holds the traits in quarantine with the time from which requests with them
+	// are tried.
 	quarantined map[state.Trait]time.Duration
 	// accused holds the processes of crashes that are not cleared, with the time at
 	// which the first of these became known.
@@ -64,6 +66,8 @@
 	// crashes are in the order in which they became known.
 	crashes []crashRecord
 	knownAt time.Duration
+	// arrivedAt is when a request with the trait last arrived since its quarantine began.
+	arrivedAt time.Duration
 	// reviewed is set after a quarantine has ended without a start.
 	reviewed bool
 	// startsBefore is the number of starts of its kind when the trait became pending.
@@ -77,7 +81,7 @@
 	at time.Duration
 }
 
-// Transition is the beginning or the end of a quarantine. Targets is the number of
+// Transition is the beginning, the prolongation or the end of a quarantine. Targets is the number of
 // processes whose crashes are not cleared.
 type Transition struct {
 	Trait       state.Trait
@@ -85,6 +89,8 @@
 	Targets     int
 	// Reviewed is set if the quarantine ended without a sign that the trait is sound.
 	Reviewed bool
+	// Tried is set if the quarantine goes on because a trial has ended its target.
+	Tried bool
 }
 
 // NewLedger returns a ledger without evidence.
@@ -207,7 +213,7 @@
 	return l.clear(now, trait, func(Process) bool { return true })
 }
 
-// judge begins or ends the quarantine of a trait. isNew is set if a crash has just
+// judge begins, prolongs or ends the quarantine of a trait. isNew is set if a crash has just
 // become known.
 func (l *Ledger) judge(now time.Duration, trait state.Trait, isNew bool) {
 	record := l.records[trait]
@@ -222,11 +228,17 @@
 		}
 		return
 	}
+	if quarantined && isNew {
+		if now >= l.quarantined[trait] {
+			l.transitions = append(l.transitions, Transition{Trait: trait, Quarantined: true, Targets: count, Tried: true})
+		}
+		l.quarantined[trait] = now + reviewTime
+	}
 	if quarantined || record.reviewed && !isNew || l.mustWait(now, trait, record) {
 		return
 	}
 	delete(l.pending, trait)
-	record.reviewed = false
+	record.reviewed, record.arrivedAt = false, now
 	l.quarantined[trait] = now + reviewTime
 	l.transitions = append(l.transitions, Transition{Trait: trait, Quarantined: true, Targets: count})
 }
@@ -254,23 +266,24 @@
 	return count
 }
 
-// Arrive records the arrival of a request and defers the review of its traits.
+// Arrive records the arrival of a request with traits in quarantine. These last until a trial
+// shows that they are sound, or until no such request arrives any more.
 func (l *Ledger) Arrive(now time.Duration, traits ...state.Trait) {
 	for _, trait := range traits {
-		if _, quarantined := l.quarantined[trait]; quarantined {
-			l.quarantined[trait] = max(l.quarantined[trait], now+reviewTime)
+		if l.isQuarantined(trait) {
+			l.records[trait].arrivedAt = max(l.records[trait].arrivedAt, now)
 		}
 	}
 }
 
-// Tick ends the quarantines that are due for review and forgets old clears.
+// Tick ends the quarantines of traits without requests and forgets old clears.
 func (l *Ledger) Tick(now time.Duration) {
 	if now < l.nextPurgeAt {
 		return
 	}
 	l.nextPurgeAt = now + purgePeriod
 	for _, trait := range sortedTraits(l.quarantined) {
-		if now >= l.quarantined[trait] {
+		if now-l.records[trait].arrivedAt >= reviewTime {
 			delete(l.quarantined, trait)
 			l.records[trait].reviewed = true
 			l.transitions = append(l.transitions, Transition{Trait: trait, Targets: l.records[trait].count(), Reviewed: true})
@@ -296,8 +309,8 @@
 	return transitions
 }
 
-// Quarantined returns the traits in quarantine with the time of their review. The map
-// belongs to the ledger.
+// Quarantined returns the traits in quarantine with the time from which requests with them
+// are tried. The map belongs to the ledger.
 func (l *Ledger) Quarantined() map[state.Trait]time.Duration { return l.quarantined }
 
 // CrashesOf returns the crashes of a trait that are not cleared.
--- a/pkg/core/quarantine/quarantine.go
+++ b/pkg/core/quarantine/quarantine.go
@@ -138,7 +138,7 @@
 	}
 }
 
-// logTransitions logs the quarantines that have begun or ended in this step. from is the
+// logTransitions logs the quarantines that have begun, gone on after a trial or ended in this step. from is the
 // peer whose report led to it, empty for this node.
 func (s *System) logTransitions(from state.NodeID, out *state.Outbox) {
 	for _, t := range s.ledger.Transitions() {
@@ -149,7 +149,7 @@
 		trait := slog.String(name, t.Trait.String())
 		if t.Quarantined {
 			s.managed.QuarantineVersion++
-			out.Log(begun, trait, slog.Int("targets", t.Targets), slog.String("from", string(from)))
+			out.Log(begun, trait, slog.Int("targets", t.Targets), slog.Bool("tried", t.Tried), slog.String("from", string(from)))
 			continue
 		}
 		out.Log(ended, trait, slog.Bool("reviewed", t.Reviewed), slog.String("from", string(from)))
--- a/pkg/core/state/managedstate.go
+++ b/pkg/core/state/managedstate.go
@@ -38,8 +38,8 @@
 	// Hubs is the set of nodes that relay messages to all nodes, nil if all nodes are
 	// linked with each other. Written by the inventory system.
 	Hubs map[NodeID]bool
-	// Quarantined holds the traits whose requests are not run, with the time at which the
-	// quarantine is reviewed. Written by the quarantine system.
+	// Quarantined holds the traits whose requests are not run, with the time from which the
+	// nodes try one of them in turn. Written by the quarantine system.
 	Quarantined map[Trait]time.Duration
 	// QuarantinedArrivals holds when a request with a trait in quarantine last arrived at
 	// this node. Written by the dispatch system.
@@ -48,8 +48,8 @@
 	// counts their changes. Written by the inventory system.
 	QuarantineRows        map[string]QuarantineRow
 	QuarantineRowsVersion uint64
-	// QuarantineVersion counts the traits that were put into quarantine. Written by the
-	// quarantine system.
+	// QuarantineVersion counts the traits that were put into quarantine, or stay there after
+	// a trial. Written by the quarantine system.
 	QuarantineVersion uint64
 	// Lease is the row of the formation lease. Written by the inventory system.
 	Lease FormationLease
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -107,6 +107,7 @@
 	PromptPartReleased    ID = 1311
 	RequestQuarantined    ID = 1312
 	RequestReleased       ID = 1313
+	QuarantineTrial       ID = 1314
 )
 
 // Events of the process: 1400 to 1499.
@@ -224,6 +225,7 @@
 	{PromptPartReleased, Info, "part of prompts released from quarantine"},
 	{RequestQuarantined, Warn, "request put into quarantine"},
 	{RequestReleased, Info, "request released from quarantine"},
+	{QuarantineTrial, Info, "request with a trait in quarantine is tried"},
 	{NodeStarted, Info, "node started"},
 	{NodeReady, Info, "node ready"},
 	{NodeDraining, Info, "graceful shutdown started"},
