List and lift quarantines on the command line

Change: apricotgrade quarantine lists the traits in quarantine at a node, the hosts that ended with them and the time to the next trial. apricotgrade lift TRAIT removes the row of the trait and adds an audit record in one transaction, and then clears the evidence at all nodes; event 1315 names the operator, and apricotgrade audit shows the record. After a lost answer the record's operation ID tells whether the transaction took effect. Repeating a lift changes nothing.

--- a/pkg/command/command.go
+++ b/pkg/command/command.go
@@ -91,7 +91,7 @@
 func All() []*Command {
 	return []*Command{
 		newDev(), newCheck(), newCheckPlatform(), newPlan(), newApply(), newPreset(), newOut(), newIn(), newForget(),
-		newStatus(), newOrder(), newExplain(), newAudit(), newExport(), newBench(), newHash(), newKey(),
+		newQuarantine(), newLift(), newStatus(), newOrder(), newExplain(), newAudit(), newExport(), newBench(), newHash(), newKey(),
 	}
 }
 
--- a/pkg/command/command_test.go
+++ b/pkg/command/command_test.go
@@ -199,3 +199,29 @@
 	code, _, _ = runCommand(t, "", "bench", "slopes", "--json")
 	g.Expect(code).To(gomega.Equal(command.ExitFailure))
 }
+
+// TestQuarantineCommands guards against a list without what lift needs, and against a lift that
+// does not say where it is recorded.
+func TestQuarantineCommands(t *testing.T) {
+	g := gomega.NewWithT(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var answer any = operator.Quarantines{Entries: []operator.Quarantine{
+			{Trait: "part/fa", Hosts: []string{"h1", "h2"}, NextTrialMS: 90_000, LastArrivalMS: 400},
+			{Trait: "request/1b", LastArrivalMS: -1},
+		}}
+		if r.Method == http.MethodPost {
+			answer = operator.ChangeReply{Version: 3}
+		}
+		_ = json.NewEncoder(w).Encode(answer)
+	}))
+	defer server.Close()
+	connection := []string{"--server", server.URL, "--key-file", writeFile(t, "secret\n")}
+	code, out, _ := runCommand(t, "", append([]string{"quarantine"}, connection...)...)
+	g.Expect(code).To(gomega.Equal(command.ExitOK))
+	g.Expect(out).To(gomega.MatchRegexp(`part/fa +in 1m30s +0s ago +h1 h2\nrequest/1b +due +- +-\n`))
+	code, out, _ = runCommand(t, "", append([]string{"lift", "part/fa"}, connection...)...)
+	g.Expect(code).To(gomega.Equal(command.ExitOK))
+	g.Expect(out).To(gomega.Equal("part/fa lifted, audit record 3\n"))
+	code, _, _ = runCommand(t, "", append([]string{"lift"}, connection...)...)
+	g.Expect(code).To(gomega.Equal(command.ExitUsage))
+}
--- a/pkg/core/inventory/inventory.go
+++ b/pkg/core/inventory/inventory.go
@@ -130,6 +130,10 @@
 			s.registerCallID = 0
 		}
 	case state.OperatorCommand:
+		if in.Action == state.ActionLift {
+			// The quarantine system answers.
+			return
+		}
 		out.Add(state.OperatorReply{ID: in.ID, Error: apierror.New(apierror.KindConflict, "platform_holds_configuration",
 			"the platform holds the configuration; change it there", apierror.NotRun)})
 	case state.Tick:
--- a/pkg/core/quarantine/quarantine.go
+++ b/pkg/core/quarantine/quarantine.go
@@ -31,6 +31,8 @@
 	rows    rowKeeper
 	// suspicions holds losses that are evidence once their process has ended.
 	suspicions suspicions
+	// lift is the operator's command in progress, nil if there is none.
+	lift *lift
 }
 
 // New returns the quarantine system.
@@ -56,6 +58,10 @@
 		if in.Up {
 			send(s.ledger.Crashes(maxCrashesAtLinkUp), in.Peer, out)
 		}
+	case state.OperatorCommand:
+		s.handleCommand(now, in, out)
+	case state.StoreReply:
+		s.handleStoreReply(now, in, out)
 	case state.Tick:
 		for trait, at := range s.managed.QuarantinedArrivals {
 			s.ledger.Arrive(at, trait)
--- a/pkg/core/quarantine/quarantine_test.go
+++ b/pkg/core/quarantine/quarantine_test.go
@@ -22,6 +22,9 @@
 	requests int
 	// transactions holds those of the current tick.
 	transactions []state.Transaction
+	// lastRequest is the last store request, and replies are those to operators.
+	lastRequest state.StoreRequest
+	replies     []state.OperatorReply
 	// route is that of the requests.
 	route *state.Route
 }
@@ -117,7 +120,10 @@
 			n.events = append(n.events, o.Event)
 		case state.SendPeer:
 			f.deliver(i, o)
+		case state.OperatorReply:
+			f.replies = append(f.replies, o)
 		case state.StoreRequest:
+			f.lastRequest = o
 			if o.Transact != nil {
 				f.transactions = append(f.transactions, *o.Transact)
 			}
--- a/pkg/core/state/input.go
+++ b/pkg/core/state/input.go
@@ -313,6 +313,8 @@
 	ActionEnable
 	// ActionForget removes a node that is permanently gone from the registry.
 	ActionForget
+	// ActionLift lifts a quarantine.
+	ActionLift
 )
 
 // OperatorCommand is a configuration change that an operator requests.
@@ -335,6 +337,8 @@
 	Target     TargetID
 	// Node is set for ActionForget.
 	Node NodeID
+	// Trait is set for ActionLift.
+	Trait Trait
 }
 
 // Shutdown requests a graceful shutdown of the node.
--- a/pkg/core/state/trait.go
+++ b/pkg/core/state/trait.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strconv"
+	"strings"
 )
 
 // TraitKind is the kind of a Trait.
@@ -27,6 +28,24 @@
 // String returns the ID in hexadecimal.
 func (t Trait) String() string { return strconv.FormatUint(t.ID, 16) }
 
+// traitKindNames holds the names of the kinds that operators use.
+var traitKindNames = map[TraitKind]string{PromptPartTrait: "part", RequestTrait: "request"}
+
+// Name returns the name that operators use: the kind and the ID, as in part/fa.
+func (t Trait) Name() string { return traitKindNames[t.Kind] + "/" + t.String() }
+
+// ParseTrait parses the name of a trait. It returns false if it is none.
+func ParseTrait(name string) (Trait, bool) {
+	kindName, text, _ := strings.Cut(name, "/")
+	id, err := strconv.ParseUint(text, 16, 64)
+	for kind, known := range traitKindNames {
+		if known == kindName && err == nil {
+			return Trait{kind, id}, true
+		}
+	}
+	return Trait{}, false
+}
+
 // CompareTraits orders traits by kind and ID.
 func CompareTraits(a, b Trait) int {
 	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.ID, b.ID))
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -108,6 +108,7 @@
 	RequestQuarantined    ID = 1312
 	RequestReleased       ID = 1313
 	QuarantineTrial       ID = 1314
+	QuarantineLifted      ID = 1315
 )
 
 // Events of the process: 1400 to 1499.
@@ -226,6 +227,7 @@
 	{RequestQuarantined, Warn, "request put into quarantine"},
 	{RequestReleased, Info, "request released from quarantine"},
 	{QuarantineTrial, Info, "request with a trait in quarantine is tried"},
+	{QuarantineLifted, Info, "quarantine lifted by an operator"},
 	{NodeStarted, Info, "node started"},
 	{NodeReady, Info, "node ready"},
 	{NodeDraining, Info, "graceful shutdown started"},
--- a/pkg/operator/api.go
+++ b/pkg/operator/api.go
@@ -21,6 +21,8 @@
 	pathOut          = "/operator/out"
 	pathIn           = "/operator/in"
 	pathForget       = "/operator/forget"
+	pathQuarantine   = "/operator/quarantine"
+	pathLift         = "/operator/lift"
 )
 
 // maxBodyBytes bounds the body of an operator's request. Declarations of 600 groups
@@ -42,6 +44,8 @@
 	Target     string `json:"target,omitempty"`
 	// Node is the node that forget removes from the registry.
 	Node string `json:"node,omitempty"`
+	// Trait is the name of the trait whose quarantine lift ends.
+	Trait string `json:"trait,omitempty"`
 }
 
 // ChangeReply is the answer to a committed change.
@@ -84,6 +88,26 @@
 	Entries []AuditEntry `json:"entries"`
 }
 
+// Quarantines holds the traits in quarantine at the node that answers, sorted by kind and ID.
+type Quarantines struct {
+	Entries []Quarantine `json:"entries"`
+}
+
+// Quarantine is a trait whose requests are refused.
+type Quarantine struct {
+	// Trait is the name of the trait: part/ID or request/ID, with the ID in hexadecimal.
+	Trait string `json:"trait"`
+	// Hosts lists the hosts that ended with requests with the trait. It is empty until the
+	// holder of the formation lease has stored the evidence.
+	Hosts []string `json:"hosts"`
+	// NextTrialMS is the time until the nodes try such a request again, in milliseconds; 0
+	// means that they do so in turn.
+	NextTrialMS int64 `json:"next_trial_ms"`
+	// LastArrivalMS is the time since such a request last arrived at the node that answers, in
+	// milliseconds; -1 means that none has.
+	LastArrivalMS int64 `json:"last_arrival_ms"`
+}
+
 // RequestOutcome is the recorded outcome of a non-idempotent request.
 type RequestOutcome struct {
 	Account        string `json:"account"`
--- a/pkg/operator/server.go
+++ b/pkg/operator/server.go
@@ -107,6 +107,8 @@
 		route(http.MethodPost, pathOut, s.disable),
 		route(http.MethodPost, pathIn, s.enable),
 		route(http.MethodPost, pathForget, s.forget),
+		route(http.MethodGet, pathQuarantine, s.quarantines),
+		route(http.MethodPost, pathLift, s.lift),
 		{Method: http.MethodGet, Path: "/healthz", Handler: s.healthz},
 		{Method: http.MethodGet, Path: "/readyz", Handler: s.readyz},
 		{Method: http.MethodGet, Path: "/metrics", Handler: s.writeMetrics},
--- a/pkg/operator/server_test.go
+++ b/pkg/operator/server_test.go
@@ -174,3 +174,43 @@
 	g.Expect(audit.Entries[0].Version).To(gomega.Equal(uint64(4)))
 	g.Expect(audit.Entries[0].Time).To(gomega.Equal("1970-01-01T00:00:01Z"))
 }
+
+// TestQuarantinesAreListedAndLifted guards against a list that names a trait in another way than
+// lift expects it, and against a lift without the name of the operator.
+func TestQuarantinesAreListedAndLifted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFakeDaemon(t)
+	client := operator.NewClient([]string{startServer(t, f, memory.New()).URL}, "key-b")
+	quarantines, err := client.Quarantines(t.Context())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(quarantines.Entries).To(gomega.BeEmpty())
+	_, err = client.Lift(t.Context(), "part/fa")
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("not_quarantined")), "declared installation")
+
+	part, request := state.Trait{Kind: state.PromptPartTrait, ID: 0xfa}, state.Trait{Kind: state.RequestTrait, ID: 0xfa}
+	f.tables.Managed = state.NewManagedState()
+	f.tables.Managed.Quarantined[request] = 9 * time.Second
+	f.tables.Managed.Quarantined[part] = 12 * time.Second
+	f.tables.Managed.QuarantinedArrivals[part] = 7 * time.Second
+	f.tables.Managed.QuarantineRows[state.QuarantineKey(part)] = state.QuarantineRow{Trait: part, Crashes: []state.TraitCrash{{Trait: part, Host: "h1"}, {Trait: part, Host: "h2"}}}
+	quarantines, err = client.Quarantines(t.Context())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(quarantines.Entries).To(gomega.Equal([]operator.Quarantine{
+		{Trait: "part/fa", Hosts: []string{"h1", "h2"}, NextTrialMS: 2000, LastArrivalMS: 3000},
+		{Trait: "request/fa", Hosts: []string{}, NextTrialMS: 0, LastArrivalMS: -1},
+	}))
+	for _, name := range []string{"", "fa", "part/", "part/xyz", "whole/fa"} {
+		_, err = client.Lift(t.Context(), name)
+		g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("invalid_value")), name)
+	}
+	for _, q := range quarantines.Entries {
+		_, err = client.Lift(t.Context(), q.Trait)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	commands := f.receivedCommands()
+	g.Expect(commands).To(gomega.HaveLen(2))
+	g.Expect(commands[0].Trait).To(gomega.Equal(part))
+	g.Expect(commands[1].Trait).To(gomega.Equal(request))
+	g.Expect(commands[1].Action).To(gomega.Equal(state.ActionLift))
+	g.Expect(commands[1].Operator).To(gomega.Equal("bob"))
+}
