Count targets that end at the first event of an answer

Change: one function, momentOf, classifies the events of an attempt for parts and whole requests, by the table in its type. A stream that is lost within 20 ms after its first event counts as a crash of its target. An answer counts as a start once it has gone on for that long, or is complete.

Tests that checked a release at the first event now check it after the beginning of the answer.

--- a/pkg/core/dispatch/quarantine_test.go
+++ b/pkg/core/dispatch/quarantine_test.go
@@ -15,6 +15,9 @@
 	faultyPart = state.PromptPartID(0xfa)
 )
 
+// beginningTime is how long an answer must go on after its first event to count as a start.
+const beginningTime = 20 * time.Millisecond
+
 var faultyTrait = state.Trait{Kind: state.PromptPartTrait, ID: uint64(faultyPart)}
 
 // crash feeds the loss of the connection of the last attempt of a request after the head
@@ -158,6 +161,7 @@
 	r := newRig(t, 3)
 	id := r.sendRequestWithParts("/a/", 10, faultyPart)
 	r.reportStage(id, state.AttemptFirstByte)
+	r.advance(beginningTime)
 	r.quarantineStartedPart()
 	r.reportStage(id, state.AttemptStalled)
 	r.advance(2 * time.Second)
@@ -216,6 +220,7 @@
 	r.reportCrash("x1")
 	r.reportCrash("x2")
 	r.reportAttempt(id, 1, state.AttemptFirstByte)
+	r.advance(beginningTime)
 	r.reportCrash("x3")
 	g.Expect(r.tables.Managed.Quarantined).To(gomega.BeEmpty())
 }
@@ -229,5 +234,6 @@
 	r.quarantinePart()
 	expectQuarantined(g, r.replyTo(id), apierror.Unknown)
 	r.reportStage(id, state.AttemptFirstByte)
+	r.advance(beginningTime)
 	g.Expect(r.lastAttempt(r.sendRequestWithParts("/a/", 10, faultyPart))).NotTo(gomega.BeNil())
 }
--- a/pkg/core/dispatch/trial_test.go
+++ b/pkg/core/dispatch/trial_test.go
@@ -61,6 +61,12 @@
 	for name, lose := range map[string]func(r *rig, id state.RequestID){
 		"crash after the head": (*rig).crash,
 		"loss before the head": func(r *rig, id state.RequestID) { r.endAttempt(id, state.FailureConnectionLost, apierror.Unknown) },
+		"crash at the first event": func(r *rig, id state.RequestID) {
+			r.reportStage(id, state.AttemptFirstByte)
+			r.step(state.AttemptEvent{
+				Request: id, Attempt: 1, Stage: state.AttemptEnded, Failure: state.FailureConnectionLost, Outcome: apierror.Unknown, Status: 200, EventCount: 1, AnswerStarted: true,
+			})
+		},
 		"silence": func(r *rig, id state.RequestID) {
 			r.reportStage(id, state.AttemptStalled)
 			r.advance(time.Second)
--- a/pkg/core/quarantine/doc.go
+++ b/pkg/core/quarantine/doc.go
@@ -11,16 +11,17 @@
 //
 // The evidence is kept by trait: a part of prompts, or the whole request, by which its
 // repetitions are recognised. A crash is an attempt whose connection was lost at the moment
-// at which the request may have ended the target. Of a stream that is after the head of its
-// answer and before the first event. An engine begins one answer after the other, so that
-// of all streams of a group that ends this is the state of few. Other answers have no head
-// before they are complete, so that each request that the target held may be at fault. A
-// start is the first event of any request with the trait, or of a whole request its
-// complete answer: it clears the trait's crashes. Sound traits start all the time, the one
-// at fault never does. A trait is put into quarantine after crashes of three processes
+// at which the request may have ended the target; the type moment lists them. Of a stream that
+// is from the head of its answer until shortly after the first event. An engine begins one
+// answer after the other, so that of all streams of a group that ends this is the state of few.
+// Other answers have no head before they are complete, so that each request that the target
+// held may be at fault. A start is an answer of any request with the trait that goes on after
+// its beginning, or is complete: it clears the trait's crashes. Sound traits start all the time,
+// the one at fault never does. A trait is put into quarantine after crashes of three processes
 // without a start. From some minutes after its last crash the nodes take turns to try one
 // request with it, so that a trait that was put there wrongly, or whose targets have been
-// mended, is released while its requests go on arriving. Of the plainer rules, quarantine at the first crash takes in the sound
-// traits of each request that was lost at that moment, and a quarantine of the first part
-// or of the client account all requests that share it with the part at fault.
+// mended, is released while its requests go on arriving. Of the plainer rules, quarantine at the
+// first crash takes in the sound traits of each request that was lost at that moment, and a
+// quarantine of the first part or of the client account all requests that share it with the part
+// at fault.
 package quarantine
--- a/pkg/core/quarantine/quarantine.go
+++ b/pkg/core/quarantine/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"net/http"
 	"slices"
 	"time"
 
@@ -31,13 +30,15 @@
 	rows    rowKeeper
 	// suspicions holds losses that are evidence once their process has ended.
 	suspicions suspicions
+	// beginnings holds the answers that have just begun.
+	beginnings beginnings
 	// lift is the operator's command in progress, nil if there is none.
 	lift *lift
 }
 
 // New returns the quarantine system.
 func New(t *state.Tables) *System {
-	s := &System{tables: t, managed: t.Managed, ledger: NewLedger(), rows: rowKeeper{known: map[string]state.Trait{}}, suspicions: suspicions{}}
+	s := &System{tables: t, managed: t.Managed, ledger: NewLedger(), rows: rowKeeper{known: map[string]state.Trait{}}, suspicions: suspicions{}, beginnings: newBeginnings()}
 	s.managed.Quarantined = s.ledger.Quarantined()
 	return s
 }
@@ -46,6 +47,7 @@
 func (s *System) Step(now time.Duration, in state.Input, out *state.Outbox) {
 	from := state.NodeID("")
 	s.readRows(now, out)
+	s.confirmBeginnings(now, out)
 	switch in := in.(type) {
 	case state.AttemptEvent:
 		s.handleAttemptEvent(now, in, out)
@@ -75,6 +77,10 @@
 
 // handleAttemptEvent adds what an attempt shows on the traits of its request.
 func (s *System) handleAttemptEvent(now time.Duration, ev state.AttemptEvent, out *state.Outbox) {
+	key := attemptKey{ev.Request, ev.Attempt}
+	if ev.Stage == state.AttemptEnded && ev.Failure != state.FailureCancelled {
+		defer s.beginnings.remove(key)
+	}
 	req := s.tables.Requests.Get(ev.Request)
 	if req == nil || len(req.Traits) == 0 {
 		return
@@ -84,50 +90,34 @@
 		return
 	}
 	process := Process{Host: state.HostID(attempt.Target), StartID: attempt.StartID}
-	if isStart(ev) || isAnswer(ev) {
+	switch momentOf(req, ev, s.beginnings.has(key)) {
+	case beginning:
+		s.suspicions.clear(process, attempt.SentAt)
+		s.beginnings.add(key, answerBeginning{process: process, sentAt: attempt.SentAt, firstEventAt: now, traits: req.Traits})
+	case completed:
 		s.suspicions.clear(process, attempt.SentAt)
-	}
-	switch {
-	case isStart(ev):
 		s.spread(s.ledger.Start(now, process, attempt.SentAt, req.Traits), "", out)
-	case isAnswer(ev):
+	case answered:
+		s.suspicions.clear(process, attempt.SentAt)
 		s.spread(s.ledger.Start(now, process, attempt.SentAt, ofKind(req.Traits, state.RequestTrait)), "", out)
-	case isCrash(req, ev) && req.Phase != state.RequestEnded && !req.AnswerStarted:
+	case lostAtBeginning:
 		s.spread(s.ledger.Crash(now, process, req.Traits), "", out)
-	case ev.LostBeforeAnswer() && req.Phase != state.RequestEnded && !req.AnswerStarted:
+	case lostBeforeHead:
 		s.recordHeadlessLoss(now, process, req.Traits)
 	}
 }
 
-// isCrash reports whether a target may have ended because it began to run a request. Of a
-// stream the head has arrived by then. Any other answer has no head before it is complete,
-// so that all requests at a target which ends look alike: those that it only held start at
-// another one.
-func isCrash(req *state.Request, ev state.AttemptEvent) bool {
-	if req.Route != nil && !req.Route.Stream {
-		return ev.LostBeforeAnswer()
+// confirmBeginnings counts the answers that have gone on for beginningTime as starts.
+func (s *System) confirmBeginnings(now time.Duration, out *state.Outbox) {
+	for _, b := range s.beginnings.takeBefore(now - beginningTime) {
+		s.spread(s.ledger.Start(now, b.process, b.sentAt, b.traits), "", out)
 	}
-	return ev.LostBeforeFirstEvent()
-}
-
-// isAnswer reports whether a target has completed an answer to a request, of whatever
-// status: the request did not end it.
-func isAnswer(ev state.AttemptEvent) bool {
-	return ev.Stage == state.AttemptEnded && ev.EventCount == 0 && (ev.Failure == state.FailureNone || ev.Failure == state.FailureTargetError)
 }
 
 func ofKind(traits []state.Trait, kind state.TraitKind) []state.Trait {
 	return slices.DeleteFunc(slices.Clone(traits), func(t state.Trait) bool { return t.Kind != kind })
 }
 
-// isStart reports whether an event shows that a target could answer a request. The end
-// of an attempt with events is no second start, and an answer with another status does
-// not show that the prompt was read.
-func isStart(ev state.AttemptEvent) bool {
-	return ev.Stage == state.AttemptFirstByte ||
-		ev.Stage == state.AttemptEnded && ev.Failure == state.FailureNone && ev.Status == http.StatusOK && ev.EventCount == 0
-}
-
 // spread sends evidence to all nodes.
 func (s *System) spread(crashes []state.TraitCrash, from state.NodeID, out *state.Outbox) {
 	if len(crashes) == 0 {
--- a/pkg/core/quarantine/quarantine_test.go
+++ b/pkg/core/quarantine/quarantine_test.go
@@ -143,7 +143,8 @@
 	}
 }
 
-// attempt feeds an event of an attempt that a node has sent to a target.
+// attempt feeds an event of an attempt that a node has sent to a target. An answer that begins
+// goes on.
 func (f *fleet) attempt(node, target int, ev state.AttemptEvent, parts ...state.Trait) {
 	f.requests++
 	id := state.RequestID(fmt.Sprint(f.requests))
@@ -153,6 +154,10 @@
 	})
 	ev.Request, ev.Attempt = id, 1
 	f.step(node, ev)
+	if ev.Stage == state.AttemptFirstByte {
+		f.now += beginningTime
+		f.step(node, state.AttemptEvent{})
+	}
 }
 
 var (
