Count only the header of a request as its header

Cause: what a connection read together with the header of a request counted as header until the request was answered: 2,000 empty lines behind it cost 507 KB.

Change: the end of a header is found in what is read, and bytes behind it cost nothing. The server keeps them in the buffer of the connection, which is counted, or passes them on as the body.

--- a/pkg/connlimit/conn.go
+++ b/pkg/connlimit/conn.go
@@ -42,13 +42,13 @@
 	net.Conn
 	pool *Pool
 
-	// The mutex of the pool guards these fields. since is when the phase began, headerBytes
-	// the size of the current request header, and headerCost what it costs.
-	phase       phase
-	since       time.Time
-	headerBytes int
-	headerCost  int64
-	requests    int
+	// The mutex of the pool guards these fields. since is when the phase began, header what of
+	// the current request header has been read, and headerCost what it costs.
+	phase      phase
+	since      time.Time
+	header     headerProgress
+	headerCost int64
+	requests   int
 	// evicted is set once the connection was chosen to be closed for others.
 	evicted atomic.Bool
 
@@ -73,8 +73,8 @@
 	if n == 0 {
 		return n, err
 	}
-	size, isHeader := c.countHeader(n)
-	if !isHeader {
+	size, cost := c.countHeader(b[:n])
+	if cost == 0 {
 		return n, err
 	}
 	if size > c.pool.limits.HeaderBytes() {
@@ -83,25 +83,55 @@
 		c.closeFor(HeaderTooLarge)
 		return 0, &net.OpError{Op: "read", Net: "tcp", Err: errHeaderTooLarge}
 	}
-	if !c.pool.reserve(c, int64(n)+int64(bytes.Count(b[:n], []byte{'\n'}))*lineBytes) {
+	if !c.pool.reserve(c, cost) {
 		return 0, &net.OpError{Op: "read", Net: "tcp", Err: errClosedForRoom}
 	}
 	return n, err
 }
 
-// countHeader adds n bytes to the current request header and returns its size. It returns false
-// for bytes that follow the header.
-func (c *Conn) countHeader(n int) (size int, isHeader bool) {
+// countHeader adds bytes to the current request header. It returns the size of the header, and
+// what the added part costs. Bytes that follow the header cost nothing: the server keeps them in
+// the buffer of the connection, or passes them on as the body.
+func (c *Conn) countHeader(b []byte) (size int, cost int64) {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
 	if c.phase == serving {
-		return 0, false
+		return 0, 0
 	}
 	if c.phase == waiting {
 		c.phase, c.since = readingHeader, time.Now()
 	}
-	c.headerBytes += n
-	return c.headerBytes, true
+	added, lines := c.header.add(b)
+	return c.header.size, int64(added) + int64(lines)*lineBytes
+}
+
+// headerProgress is what of a request header has been read.
+type headerProgress struct {
+	size int
+	// lineSize is the size of the unfinished line without a carriage return. hasLine is set
+	// after the first line that is not empty; the next empty line ends the header.
+	lineSize int
+	hasLine  bool
+	complete bool
+}
+
+// add adds bytes up to the end of the header, and returns their number and that of their lines.
+func (h *headerProgress) add(b []byte) (added, lines int) {
+	for !h.complete && added < len(b) {
+		line, _, found := bytes.Cut(b[added:], []byte{'\n'})
+		added += len(line)
+		h.lineSize += len(bytes.TrimSuffix(line, []byte{'\r'}))
+		if !found {
+			break
+		}
+		added++
+		lines++
+		h.complete = h.hasLine && h.lineSize == 0
+		h.hasLine = h.hasLine || h.lineSize > 0
+		h.lineSize = 0
+	}
+	h.size += added
+	return added, lines
 }
 
 // Write implements net.Conn. A caller loses its connection if nothing can be written for
--- a/pkg/connlimit/pool.go
+++ b/pkg/connlimit/pool.go
@@ -230,11 +230,11 @@
 	defer p.mu.Unlock()
 	switch state {
 	case http.StateActive, http.StateHijacked:
-		c.phase, c.since, c.headerBytes = serving, time.Now(), 0
+		c.phase, c.since, c.header = serving, time.Now(), headerProgress{}
 		c.requests++
 	case http.StateIdle:
 		p.held -= c.headerCost
-		c.phase, c.since, c.headerBytes, c.headerCost = waiting, time.Now(), 0, 0
+		c.phase, c.since, c.header, c.headerCost = waiting, time.Now(), headerProgress{}, 0
 	case http.StateClosed:
 		p.forget(c)
 	case http.StateNew:
--- a/pkg/connlimit/pool_test.go
+++ b/pkg/connlimit/pool_test.go
@@ -250,3 +250,35 @@
 	g.Expect(isConn).To(gomega.BeTrue())
 	g.Expect(c).NotTo(gomega.BeNil())
 }
+
+// TestBytesBehindAHeaderCostNothing guards against a request that counts as a large header while
+// it is served, because the bytes that follow its header were read together with it.
+func TestBytesBehindAHeaderCostNothing(t *testing.T) {
+	const head = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4096\r\n\r\n"
+	lines := int64(strings.Count(head, "\n"))
+	for name, c := range map[string]struct {
+		parts []string
+		size  int
+		cost  int64
+	}{
+		"head alone":           {[]string{head}, len(head), int64(len(head)) + lines*lineBytes},
+		"with empty lines":     {[]string{head + strings.Repeat("\r\n", 2000)}, len(head), int64(len(head)) + lines*lineBytes},
+		"with bare line feeds": {[]string{"GET / HTTP/1.1\nHost: x\n\n" + strings.Repeat("a\n", 2000)}, 24, 24 + 3*lineBytes},
+		"byte by byte":         {strings.Split(head+strings.Repeat("\n", 100), ""), len(head), int64(len(head)) + lines*lineBytes},
+		"empty lines before":   {[]string{"\r\n\r\n", head, "more"}, len(head) + 4, int64(len(head)) + 4 + (lines+2)*lineBytes},
+		"empty lines alone":    {[]string{"\r\n\r\n", "\r\n"}, 6, 6 + 3*lineBytes},
+		"unfinished":           {[]string{"GET / HTTP/1.1\r\nHost: x\r\n", "\r"}, 26, 26 + 2*lineBytes},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			conn := &Conn{pool: New(Limits{}, nil, nil)}
+			size, cost := 0, int64(0)
+			for _, part := range c.parts {
+				partSize, partCost := conn.countHeader([]byte(part))
+				size, cost = partSize, cost+partCost
+			}
+			g.Expect(size).To(gomega.Equal(c.size))
+			g.Expect(cost).To(gomega.Equal(c.cost))
+		})
+	}
+}
