Keep the group of a head that is cut off when the store is restored

Cause: a store that comes back from a copy may hold the entry of a head from before its group was opened. If the head is cut off, nothing newer comes, and the entry is applied after two seconds.

Change: a row of the copy that contradicts what a node knew is marked, also for peers. While it is all that is known of a head that does not answer, its group counts as open and out of reach: it is retired as that of any such head, its members leave, and they are free once the head must have stalled.

--- a/pkg/core/formation/era_test.go
+++ b/pkg/core/formation/era_test.go
@@ -185,3 +185,42 @@
 	r.run(10 * time.Second)
 	g.Expect(r.violations).To(gomega.BeEmpty())
 }
+
+// TestCopyOfLeaderEntryDoesNotEndGroup guards against members that join another group while their
+// leader, which this node does not reach, serves: a store that came back from a copy has an entry
+// of the leader from before the group was opened.
+func TestCopyOfLeaderEntryDoesNotEndGroup(t *testing.T) {
+	for name, copied := range map[string]func(group state.Membership) state.Membership{
+		"older group": func(state.Membership) state.Membership {
+			return state.Membership{Group: "older", Epoch: 1, Phase: state.MemberOpen}
+		},
+		"no group":   func(state.Membership) state.Membership { return state.Membership{} },
+		"not opened": func(m state.Membership) state.Membership { m.Phase = state.MemberReady; return m },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			r := newRig(t)
+			r.startTraffic()
+			leader := r.memberOf(large, 0)
+			group := r.hosts[leader].row.Membership
+			r.hosts[leader].unresponsive = true
+			r.restoreStore(r.system.lease.row, false)
+			stale := r.hosts[leader].row
+			stale.Membership, stale.Revision, stale.RevisionSeenAt, stale.FromCopy = copied(group), r.revision, r.now, true
+			r.tables.Managed.Instances.Put(leader, &stale)
+			r.tables.Managed.TargetInputsVersion++
+			n := len(r.orders)
+			r.run(leaderBreakTime)
+			leaveOrders := 0
+			for _, o := range r.orders[n:] {
+				g.Expect(o.Operation == state.HostJoin && r.wasMember(o.Host, group)).To(gomega.BeFalse(), "%v", o)
+				if o.Operation == state.HostLeave && o.Group == group.Group {
+					leaveOrders++
+				}
+			}
+			g.Expect(leaveOrders).To(gomega.Equal(3))
+			r.run(4 * time.Second)
+			g.Expect(len(r.idleHosts(stale.Domain))).To(gomega.BeNumerically("<=", 1), "the members serve again")
+		})
+	}
+}
--- a/pkg/core/formation/group.go
+++ b/pkg/core/formation/group.go
@@ -242,6 +242,9 @@
 		return state.MemberNone, g.leader() != "" || g.hasBroken(now)
 	case g.leaderGone:
 		return state.MemberNone, true
+	case leader.row != nil && leader.row.FromCopy && leader.dead && g.opened && !g.hasBroken(now):
+		// The copy is older than the group, or than its opening, and the leader may be cut off.
+		return state.MemberOpen, false
 	case leader.row != nil && (leader.row.Membership.Group != g.id || leader.row.Membership.Epoch != g.epoch):
 		return state.MemberNone, true
 	case leader.row != nil && (!leader.dead || leader.row.Membership.Phase != state.MemberOpen):
--- a/pkg/core/inventory/era.go
+++ b/pkg/core/inventory/era.go
@@ -126,7 +126,7 @@
 		}
 		s.putInstance(now, row)
 		// The row may be older than the restoration, so no order is based on it alone.
-		row.RevisionSeenAt = s.managed.StoreRecoveredAt
+		row.RevisionSeenAt, row.FromCopy = s.managed.StoreRecoveredAt, true
 		rows = append(rows, state.RowUpdate{Key: string(id), Revision: row.Revision, Instance: row})
 		out.Log(event.HeldRowApplied, slog.String("host", string(id)), slog.Bool("draining", row.Draining))
 	}
--- a/pkg/core/state/instance.go
+++ b/pkg/core/state/instance.go
@@ -29,6 +29,9 @@
 	// ReportedAt is the send time of the request for the host report with which this
 	// node changed the row during an outage of the store; 0 for a row as stored.
 	ReportedAt time.Duration `cbor:"-"`
+	// FromCopy is set for a row with which the store came back from a copy, and which
+	// contradicts what a node knew of the process. The process has not written it since.
+	FromCopy bool `cbor:"14,keyasint,omitempty"`
 }
 
 // MemberPhase is the phase of a host as a member of its replica group.
