Keep an instance whose entry another writer has replaced

Change: such an entry says nothing of the instance. The node uses what it knows of it until the instance writes its entry again, which it does with each heartbeat, and removes it after 3.6 s, the lifetime of an entry. The removal of the entry by the platform counts at once. Event 1031 names the host.

--- a/pkg/core/inventory/inventory.go
+++ b/pkg/core/inventory/inventory.go
@@ -24,6 +24,9 @@
 	// entryReturnTime is how long after a store outage an instance whose entry
 	// expired meanwhile may take to register again. The platform specifies 2 s.
 	entryReturnTime = 2 * time.Second
+	// entryLifetime is how long the entry of an instance stays that is not renewed: three
+	// heartbeats of 1.2 s.
+	entryLifetime = 3600 * time.Millisecond
 	// outageRemovalWindow is how long after a recovery of the store a removal is
 	// attributed to the outage.
 	outageRemovalWindow = 2 * time.Second
@@ -61,6 +64,9 @@
 	// expiredInstances holds the instances whose entries expired during a store
 	// outage.
 	expiredInstances *state.DueQueue[state.HostID]
+	// overwrittenInstances holds the instances in whose place the store has an entry that names
+	// none. They are removed unless they write theirs again.
+	overwrittenInstances *state.DueQueue[state.HostID]
 	// announcedLimits holds the last report on the limit of each target, by this node or by
 	// a peer, with its time in ConfirmedAt.
 	announcedLimits map[state.HostID]state.TargetLimit
@@ -103,7 +109,8 @@
 func New(t *state.Tables) *System {
 	return &System{
 		tables: t, managed: t.Managed, expiredInstances: state.NewDueQueue[state.HostID](),
-		announcedLimits: map[state.HostID]state.TargetLimit{}, answers: newListAnswers(), restoration: newRestoration(), startup: newStartup(),
+		overwrittenInstances: state.NewDueQueue[state.HostID](),
+		announcedLimits:      map[state.HostID]state.TargetLimit{}, answers: newListAnswers(), restoration: newRestoration(), startup: newStartup(),
 		linkedPeers: t.Managed.LinkedPeers, peerStatuses: map[state.NodeID]*state.PeerStatus{},
 		lastReachableAt: map[state.NodeID]time.Duration{},
 	}
@@ -186,7 +193,7 @@
 			// A late answer of the store. The row may have been removed since.
 			continue
 		}
-		present[row.Key] = !row.Removed
+		present[row.Key] = !row.Removed || row.Unreadable
 		revision = max(revision, min(row.Revision, newest))
 		// A peer has held back the rows that contradict what it knows.
 		if restored && from == "" && row.Instance != nil && s.holdBack(now, row.Instance) {
@@ -211,6 +218,8 @@
 
 func (s *System) applyRow(now time.Duration, table state.TableKind, row *state.RowUpdate, out *state.Outbox) {
 	switch {
+	case row.Unreadable:
+		s.holdOverwritten(now, state.HostID(row.Key), row.Revision, out)
 	case row.Removed:
 		s.removeRow(now, table, row.Key, row.Revision, out)
 	case row.PlatformConfig != nil:
@@ -288,6 +297,7 @@
 	s.applyDeparture(now, row)
 	row.RevisionSeenAt = now
 	s.expiredInstances.Cancel(row.ID)
+	s.overwrittenInstances.Cancel(row.ID)
 	s.managed.Instances.Put(row.ID, row)
 	s.managed.TargetInputsVersion++
 }
@@ -367,7 +377,21 @@
 	s.deleteInstance(now, id)
 }
 
+// holdOverwritten keeps an instance whose entry has been replaced by one that names no instance,
+// until it has had the time to renew its own.
+func (s *System) holdOverwritten(now time.Duration, id state.HostID, revision uint64, out *state.Outbox) {
+	row := s.managed.Instances.Get(id)
+	if row == nil || row.Revision > revision || s.overwrittenInstances.Has(id) {
+		return
+	}
+	s.overwrittenInstances.Schedule(id, now+entryLifetime)
+	out.Log(event.EntryOverwritten, slog.String("host", string(id)), slog.Duration("wait", entryLifetime))
+}
+
 func (s *System) handleTick(now time.Duration, out *state.Outbox) {
+	for id, ok := s.overwrittenInstances.Pop(now); ok; id, ok = s.overwrittenInstances.Pop(now) {
+		s.removeInstance(now, id, out)
+	}
 	for id, ok := s.expiredInstances.Pop(now); ok; id, ok = s.expiredInstances.Pop(now) {
 		s.deleteInstance(now, id)
 	}
--- a/pkg/core/state/peerstatus.go
+++ b/pkg/core/state/peerstatus.go
@@ -46,6 +46,9 @@
 	Node           *RegisteredNode `cbor:"7,keyasint,omitempty"`
 	Lease          *LeaseRow       `cbor:"8,keyasint,omitempty"`
 	Quarantine     *QuarantineRow  `cbor:"9,keyasint,omitempty"`
+	// Unreadable is set, beside Removed, for a row of an instance without usable content. It
+	// may be of another writer, and says nothing of the instance.
+	Unreadable bool `cbor:"10,keyasint,omitempty"`
 }
 
 // PeerStatus is the status message that managed nodes exchange every
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -44,6 +44,7 @@
 	StoreRecovered          ID = 1028
 	EntryRemovalDeferred    ID = 1029
 	StoreOutageWithdrawn    ID = 1030
+	EntryOverwritten        ID = 1031
 )
 
 // Events of peers: 1100 to 1199.
@@ -178,6 +179,7 @@
 	{StoreRecovered, Info, "platform's store answers calls for the list of instances again"},
 	{EntryRemovalDeferred, Info, "removal of an instance deferred after an outage of the store"},
 	{StoreOutageWithdrawn, Info, "peers were answered throughout an assumed outage of the store"},
+	{EntryOverwritten, Warn, "entry of an instance replaced by one that names none"},
 	{PeerUp, Info, "link to peer up"},
 	{PeerDown, Warn, "link to peer down"},
 	{PeerFrameMalformed, Warn, "malformed frame from peer, link closed"},
