Cut off streams of a converted group only if others have room

Cause: a group whose hosts go to another model was closed with its streams 1.2 s after the decision, in sound operation.

Change: after 1.2 s the group is cut off only if the other open groups of its model have free slots for all its requests, by the counts of all nodes. If not, it may go on for 6 s, as any group that is retired, and the free hosts of its domain stay reserved meanwhile.

--- a/pkg/core/formation/convert.go
+++ b/pkg/core/formation/convert.go
@@ -9,8 +9,8 @@
 
 const (
 	// conversionCloseTimeout is how long a group may finish its work when its
-	// hosts go to groups of another model. The free hosts of the new groups are
-	// idle meanwhile.
+	// hosts go to groups of another model, if other groups can take over what is
+	// left. The free hosts of the new groups are idle meanwhile.
 	conversionCloseTimeout = 1200 * time.Millisecond
 	// reservationTime is how long the free hosts of a domain are reserved for the
 	// model of a conversion: the close time and a margin for repeated orders.
@@ -150,6 +150,60 @@
 	}
 }
 
+// hasRoomElsewhere reports whether the other groups of its model can take over the requests of a
+// group that is given to another model. If they are full, its streams would be lost, although
+// nothing has failed.
+func (s *System) hasRoomElsewhere(now time.Duration, g *group) bool {
+	requests, slots, free := s.countRequests(), s.slotsOf(g.service), 0
+	for _, id := range state.SortedKeys(s.groups) {
+		other := s.groups[id]
+		leader := s.hosts.get(other.leader())
+		if other == g || other.service != g.service || other.model != g.model || other.retiring || leader == nil || leader.row == nil {
+			continue
+		}
+		if phase, known := s.leaderPhase(now, other); known && phase == state.MemberOpen {
+			free += max(slots-requests[leader.id], 0)
+		}
+	}
+	return requests[g.leader()] <= free
+}
+
+// slotsOf returns how many requests a group of a service runs concurrently.
+func (s *System) slotsOf(service string) int {
+	for i := range s.managed.PlatformConfig.Services {
+		if p := &s.managed.PlatformConfig.Services[i]; p.Name == service && p.Engine != nil {
+			return p.Engine.Slots
+		}
+	}
+	return 0
+}
+
+// countRequests returns the requests of all nodes at each target.
+func (s *System) countRequests() map[state.HostID]int {
+	requests := map[state.HostID]int{}
+	for id, load := range s.managed.Loads {
+		requests[id] += load.Running + load.Waiting
+	}
+	for _, loads := range s.managed.PeerLoads {
+		for _, load := range loads {
+			requests[load.Target] += load.Running + load.Waiting
+		}
+	}
+	return requests
+}
+
+// prolongReservation reserves the free hosts of a domain for the model of a conversion while a
+// group that it ends still has work.
+func (s *System) prolongReservation(now time.Duration, leader *host) {
+	if leader == nil {
+		return
+	}
+	if c, ok := s.conversions[leader.domain]; ok {
+		c.until = max(c.until, now+reservationTime-conversionCloseTimeout)
+		s.conversions[leader.domain] = c
+	}
+}
+
 func (s *System) domainStates(now time.Duration, service *state.ServiceProfile, free []freeHost) []domainState {
 	byDomain := map[state.DomainID]*domainState{}
 	stateOf := func(domain state.DomainID) *domainState {
--- a/pkg/core/formation/retire.go
+++ b/pkg/core/formation/retire.go
@@ -12,7 +12,11 @@
 // and stalls once a member has left.
 func (s *System) retireGroup(now time.Duration, g *group, leader *host, phase state.MemberPhase, out *state.Outbox) {
 	if !g.closeImmediately && now-g.retiredAt > g.closeTimeLimit() {
-		g.closeImmediately, g.closeStarted = true, false
+		if g.converting && now-g.retiredAt <= gracefulCloseTimeout && !s.hasRoomElsewhere(now, g) {
+			s.prolongReservation(now, leader)
+		} else {
+			g.closeImmediately, g.closeStarted = true, false
+		}
 	}
 	if leader == nil || leader.dead {
 		s.orderMembersToLeave(now, g, out)
--- a/pkg/core/formation/rig_test.go
+++ b/pkg/core/formation/rig_test.go
@@ -21,6 +21,8 @@
 	fencingToken state.FencingToken
 	// An unresponsive host does not answer. A refusing host has no listener.
 	unresponsive, refusing bool
+	// A busy leader has work that it does not finish before it is cut off.
+	busy bool
 	// joinUntil and openUntil are the ends of a join and of an open in progress.
 	joinUntil, openUntil time.Duration
 	staging              string
@@ -343,6 +345,10 @@
 		if !isSameGroup {
 			return state.OrderConflict
 		}
+		if h.busy && order.Operation == state.HostCloseGraceful {
+			membership.Phase = state.MemberClosing
+			break
+		}
 		membership.Phase, h.openUntil = state.MemberReady, 0
 	case state.HostLeave:
 		if !isSameGroup {
