Let hubs that do not watch the store take a released lease

Cause: after a start of 30 nodes the first holder of the formation lease released it to hubs with larger processor shares. Only nodes that watch the store acquire a lease; the larger hubs did not, and those that watched left it to them.

Change: a hub acquires a released lease also if it learns of it from a peer. Hubs rank by processor share, so that the largest one does so first.

--- a/pkg/core/formation/lease.go
+++ b/pkg/core/formation/lease.go
@@ -1,6 +1,7 @@
 package formation
 
 import (
+	"cmp"
 	"log/slog"
 	"slices"
 	"time"
@@ -225,7 +226,10 @@
 // result changes nothing.
 func (s *System) mayAcquireLease(now time.Duration) bool {
 	stored := &s.managed.Lease
-	if s.managed.PlatformConfig == nil || !s.tables.Config.Fresh || !s.managed.WatchesStore || s.managed.ShouldReleaseLease {
+	if s.managed.PlatformConfig == nil || !s.tables.Config.Fresh || s.managed.ShouldReleaseLease {
+		return false
+	}
+	if !s.managed.WatchesStore && (!s.managed.Hubs[s.tables.Self.ID] || stored.Revision == 0 || stored.Row.Holder != "") {
 		return false
 	}
 	if state.EraOf(s.managed.Tables[state.NodeTable].Revision) < s.managed.StoreEra {
@@ -238,6 +242,11 @@
 	if _, hasPeerStatus := s.managed.PeerStatusAt[stored.Row.Holder]; hasPeerStatus && s.isStoreJustBack(now) {
 		return false
 	}
+	if stored.Row.Holder == "" && !s.managed.WatchesStore {
+		// The nodes that watch the store may leave a released lease to the hubs that are better
+		// holders, of which none may be among them.
+		return now-stored.RenewalSeenAt >= time.Duration(s.rank())*rankDelay
+	}
 	if stored.Row.Holder == "" || stored.Row.Holder == s.tables.Self.ID {
 		return true
 	}
@@ -249,17 +258,27 @@
 }
 
 // rank returns the position of this node among the candidates for the lease. Hubs come before
-// all other nodes, which would release the lease to them.
+// all other nodes, and those with larger processor shares before others, which would release the
+// lease to them.
 func (s *System) rank() int {
 	switch {
 	case s.managed.Hubs == nil:
 		return max(slices.Index(s.managed.Nodes.Keys(), s.tables.Self.ID), 0)
 	case s.managed.Hubs[s.tables.Self.ID]:
-		return slices.Index(state.SortedKeys(s.managed.Hubs), s.tables.Self.ID)
+		hubs := state.SortedKeys(s.managed.Hubs)
+		slices.SortStableFunc(hubs, func(a, b state.NodeID) int { return cmp.Compare(s.processorShare(b), s.processorShare(a)) })
+		return slices.Index(hubs, s.tables.Self.ID)
 	}
 	return maxRank
 }
 
+func (s *System) processorShare(id state.NodeID) float64 {
+	if row := s.managed.Nodes.Get(id); row != nil {
+		return row.Entry.ProcessorShare
+	}
+	return 0
+}
+
 func (s *System) writeLease(now time.Duration, row state.LeaseRow, revision uint64, out *state.Outbox) {
 	l := &s.lease
 	l.callSentAt, l.pendingRow, l.outdated = now, row, false
