Clear the mark of a copied row once its host has reported

A row with which the store came back from a copy says nothing of its host that is newer. A report of the host replaces what it says, so that the mark ends with it. TestRowOfACopyIsMarkedUntilTheHostReports.

--- a/pkg/core/inventory/era_test.go
+++ b/pkg/core/inventory/era_test.go
@@ -277,3 +277,31 @@
 		g.Expect(r.tables.Config.Fresh).To(gomega.Equal(fresh))
 	}
 }
+
+// TestRowOfACopyIsMarkedUntilTheHostReports guards against the row of a copy that passes for the
+// state of its host, here or at a peer, and against one that still does after the host has
+// reported.
+func TestRowOfACopyIsMarkedUntilTheHostReports(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig("n00", 3)
+	r.receivePeerStatus("n01", state.PeerStatus{StoreReplyAge: -1, InstancesAge: -1})
+	older := instanceRow("i1", state.FirstRevision(1)+50)
+	older.Instance.LoadedModel = "m0"
+	r.feedTable(state.InstanceTable, state.FirstRevision(1)+60, older)
+	g.Expect(r.managed.Instances.Get("i1").FromCopy).To(gomega.BeFalse())
+	r.advance(entryReturnTime + time.Second)
+	row := r.managed.Instances.Get("i1")
+	g.Expect(row.LoadedModel).To(gomega.Equal("m0"))
+	g.Expect(row.FromCopy).To(gomega.BeTrue())
+	relayed := false
+	for _, m := range r.messagesTo("n01") {
+		if m.TableUpdate != nil {
+			for _, update := range m.TableUpdate.Rows {
+				relayed = relayed || update.Instance != nil && update.Instance.FromCopy
+			}
+		}
+	}
+	g.Expect(relayed).To(gomega.BeTrue())
+	g.Expect(r.system.applyHostState(r.now, &state.HostState{Host: "i1", LoadedModel: "m1"})).To(gomega.BeTrue())
+	g.Expect(r.managed.Instances.Get("i1").FromCopy).To(gomega.BeFalse())
+}
--- a/pkg/core/inventory/outage.go
+++ b/pkg/core/inventory/outage.go
@@ -107,6 +107,7 @@
 	}
 	row := *old
 	row.Membership, row.LoadedModel, row.StagedModels, row.ReportedAt = hostState.Membership, hostState.LoadedModel, hostState.StagedModels, asOf+state.MaxReportLag
+	row.FromCopy = false
 	s.managed.Instances.Put(row.ID, &row)
 	s.managed.TargetInputsVersion++
 	return true
--- a/pkg/core/state/instance.go
+++ b/pkg/core/state/instance.go
@@ -30,7 +30,8 @@
 	// node changed the row during an outage of the store; 0 for a row as stored.
 	ReportedAt time.Duration `cbor:"-"`
 	// FromCopy is set for a row with which the store came back from a copy, and which
-	// contradicts what a node knew of the process. The process has not written it since.
+	// contradicts what a node knew of the process. The process has neither written nor reported
+	// its state since.
 	FromCopy bool `cbor:"14,keyasint,omitempty"`
 }
 
