--- a/pkg/core/dispatch/trial.go
+++ b/pkg/core/dispatch/trial.go
@@ -20,9 +20,9 @@
 // isTrialDue reports whether this node may run a request to find out whether its traits in
 // quarantine still end the targets.
 //
-// A trait that is sound, or whose targets have been mended, is refused without a trial for as
-// long as requests with it arrive. The nodes take turns, since each one that tries a faulty trait
-// ends a target.
+// Without trials, a trait that is sound, or whose targets have been mended, would be refused for
+// as long as requests with it arrive. The nodes take turns, since each one that tries a faulty
+// trait ends a target.
 func (s *System) isTrialDue(now time.Duration, req *state.Request) bool {
 	return !slices.ContainsFunc(req.Traits, func(trait state.Trait) bool {
 		_, quarantined := s.managed.Quarantined[trait]
--- a/pkg/core/dispatch/trial_test.go
+++ b/pkg/core/dispatch/trial_test.go
@@ -14,7 +14,7 @@
 // reviewTime is the time from the last crash of a part to its next trial.
 const reviewTime = 10 * time.Minute
 
-// registerNodes registers this node, n1, and others. It is the second of them.
+// registerNodes registers this node, n1, and others.
 func (r *rig) registerNodes(others ...state.NodeID) {
 	for _, id := range append([]state.NodeID{"n1"}, others...) {
 		r.tables.Managed.Nodes.Put(id, &state.RegisteredNode{Entry: state.NodeEntry{ID: id}})
--- a/pkg/core/quarantine/quarantine.go
+++ b/pkg/core/quarantine/quarantine.go
@@ -134,8 +134,8 @@
 	}
 }
 
-// logTransitions logs the quarantines that have begun, gone on after a trial or ended in this step. from is the
-// peer whose report led to it, empty for this node.
+// logTransitions logs the quarantines that have begun, gone on after a trial or ended in this
+// step. from is the peer whose report led to it, empty for this node.
 func (s *System) logTransitions(from state.NodeID, out *state.Outbox) {
 	for _, t := range s.ledger.Transitions() {
 		name, begun, ended := "part", event.PromptPartQuarantined, event.PromptPartReleased
