Derive times of entries from one, and look up engines in one place

entryLifetime and maxAnswerGap both told of three heartbeats of 1.2 s, and groupSize and slotsOf looked up the engine of a service in two loops. No value changes; the tests of formation and inventory pass.

--- a/pkg/core/formation/convert.go
+++ b/pkg/core/formation/convert.go
@@ -154,7 +154,11 @@
 // group that is given to another model. If they are full, its streams would be lost, although
 // nothing has failed.
 func (s *System) hasRoomElsewhere(now time.Duration, g *group) bool {
-	requests, slots, free := s.countRequests(), s.slotsOf(g.service), 0
+	engine := s.engineOf(g.service)
+	if engine == nil {
+		return false
+	}
+	requests, free := s.countRequests(), 0
 	for _, id := range state.SortedKeys(s.groups) {
 		other := s.groups[id]
 		leader := s.hosts.get(other.leader())
@@ -162,22 +166,12 @@
 			continue
 		}
 		if phase, known := s.leaderPhase(now, other); known && phase == state.MemberOpen {
-			free += max(slots-requests[leader.id], 0)
+			free += max(engine.Slots-requests[leader.id], 0)
 		}
 	}
 	return requests[g.leader()] <= free
 }
 
-// slotsOf returns how many requests a group of a service runs concurrently.
-func (s *System) slotsOf(service string) int {
-	for i := range s.managed.PlatformConfig.Services {
-		if p := &s.managed.PlatformConfig.Services[i]; p.Name == service && p.Engine != nil {
-			return p.Engine.Slots
-		}
-	}
-	return 0
-}
-
 // countRequests returns the requests of all nodes at each target.
 func (s *System) countRequests() map[state.HostID]int {
 	requests := map[state.HostID]int{}
--- a/pkg/core/formation/convert_test.go
+++ b/pkg/core/formation/convert_test.go
@@ -32,7 +32,7 @@
 			r.startTraffic()
 			leader := r.memberOf(large, 0)
 			group := r.system.hosts.get(leader).lastGroup
-			slots := r.system.slotsOf(group.service)
+			slots := r.system.engineOf(group.service).Slots
 			m := r.tables.Managed
 			fill := func(free int) {
 				for other := range r.hosts {
--- a/pkg/core/formation/group.go
+++ b/pkg/core/formation/group.go
@@ -391,18 +391,25 @@
 }
 
 func (s *System) groupSize(g *group) int {
-	for i := range s.managed.PlatformConfig.Services {
-		service := &s.managed.PlatformConfig.Services[i]
-		if service.Name != g.service || service.Engine == nil {
-			continue
-		}
-		if m := service.Engine.Model(g.model); m != nil {
+	if engine := s.engineOf(g.service); engine != nil {
+		if m := engine.Model(g.model); m != nil {
 			return m.GroupSize
 		}
 	}
 	return len(g.members)
 }
 
+// engineOf returns the engine profile of a service, or nil if it is none of the configuration's
+// services with an engine.
+func (s *System) engineOf(service string) *state.EngineProfile {
+	for i := range s.managed.PlatformConfig.Services {
+		if p := &s.managed.PlatformConfig.Services[i]; p.Name == service {
+			return p.Engine
+		}
+	}
+	return nil
+}
+
 // stagingProbePeriod is the interval between probes of a host that stages a
 // model during a store outage. A load takes 12 s or more.
 const stagingProbePeriod = time.Second
--- a/pkg/core/inventory/answers.go
+++ b/pkg/core/inventory/answers.go
@@ -9,10 +9,9 @@
 )
 
 // maxAnswerGap is the longest time between two answers to calls for the list of instances, of
-// any nodes, in which no entry can have expired because its instance could not renew it: an entry
-// expires after three heartbeats of 1.2 s without a write, and up to one of these may have passed
-// before the gap.
-const maxAnswerGap = 2400 * time.Millisecond
+// any nodes, in which no entry can have expired because its instance could not renew it: up to
+// one heartbeat may have passed before the gap.
+const maxAnswerGap = entryLifetime - heartbeatInterval
 
 // never stands for the time of an event that has not happened.
 const never = time.Duration(-1)
--- a/pkg/core/inventory/inventory.go
+++ b/pkg/core/inventory/inventory.go
@@ -24,9 +24,10 @@
 	// entryReturnTime is how long after a store outage an instance whose entry
 	// expired meanwhile may take to register again. The platform specifies 2 s.
 	entryReturnTime = 2 * time.Second
-	// entryLifetime is how long the entry of an instance stays that is not renewed: three
-	// heartbeats of 1.2 s.
-	entryLifetime = 3600 * time.Millisecond
+	// heartbeatInterval is the interval at which an instance renews its entry, and
+	// entryLifetime how long an entry stays that is not renewed. The platform specifies both.
+	heartbeatInterval = 1200 * time.Millisecond
+	entryLifetime     = 3 * heartbeatInterval
 	// outageRemovalWindow is how long after a recovery of the store a removal is
 	// attributed to the outage.
 	outageRemovalWindow = 2 * time.Second
