--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -9,4 +9,4 @@
 done
 mkdir -p "$root/target/review-3"
 cd "$work"
-GOFLAGS=-mod=mod GOWORK=off GOTOOLCHAIN=local GOPROXY=off go build -o "$root/target/review-3/stand" .
+CGO_ENABLED=0 GOFLAGS=-mod=mod GOWORK=off GOTOOLCHAIN=local GOPROXY=off go build -o "$root/target/review-3/stand" .
