Share calls on sockets and the state of TCP connections

The gateway asks the kernel for the state of callers' connections. The readers of answers need the same call: it moves to internal/socket, without a change of behaviour.

--- a/pkg/gateway/acceptqueue_linux.go
+++ b/pkg/gateway/acceptqueue_linux.go
@@ -2,10 +2,10 @@
 
 import (
 	"net"
-	"syscall"
 
-	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/apricotgrade/apricotgrade/internal/socket"
 )
 
 // The filter reads the flags of the TCP header, and drops segments with SYN and without
@@ -27,7 +27,7 @@
 		{Code: unix.BPF_RET | unix.BPF_K, K: 0},
 		{Code: unix.BPF_RET | unix.BPF_K, K: acceptSegment},
 	}
-	return onSocket(l, func(fd int) error {
+	return socket.Control(l, func(fd int) error {
 		return unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]})
 	})
 }
@@ -35,7 +35,7 @@
 // acceptQueueLength returns how many established connections wait for the process to
 // accept them.
 func acceptQueueLength(l *net.TCPListener) (length int, err error) {
-	err = onSocket(l, func(fd int) error {
+	err = socket.Control(l, func(fd int) error {
 		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 		if err == nil {
 			length = int(info.Unacked)
@@ -44,15 +44,3 @@
 	})
 	return length, err
 }
-
-func onSocket(socket syscall.Conn, call func(fd int) error) error {
-	conn, err := socket.SyscallConn()
-	if err != nil {
-		return errors.Wrap(err, "access the socket")
-	}
-	var callErr error
-	if err := conn.Control(func(fd uintptr) { callErr = call(int(fd)) }); err != nil {
-		return errors.Wrap(err, "access the socket")
-	}
-	return errors.Wrap(callErr, "call on the socket")
-}
