Take no reset for the end of an answer while its request is written

What callers saw: a target answers a long upload early, without a length or chunks, sends a part of the body and resets the connection. The caller gets that part as a complete answer, with a Content-Length of this node, or a stream that ends in good order after some of its events. It happens with any status and also on routes whose requests may be repeated.

Cause: a socket reports a reset once, to the read or the write that comes first. If the write of the request gets the report, the next read returns the end of the connection, which is the end of such an answer. net/http closes the connection after a failed write; a read in between is wrong.

Change: pkg/transport has the connections on which answers of targets, hosts and the store are read. At the end of a connection it asks for the state of the socket: a peer that has closed leaves it waiting for this side, a reset leaves it closed. This needs no agreement between reader and writer, so that an early answer that ends in good order passes at once, also while the request is still being written. What the request gets after a reset is what it gets after any other lost answer: 502, another attempt, or a stream that another group goes on with.

--- a/pkg/target/endpoint.go
+++ b/pkg/target/endpoint.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	"github.com/apricotgrade/apricotgrade/pkg/transport"
 )
 
 const (
@@ -42,8 +43,8 @@
 // address has its own transports, so that the idle connections to one target can
 // be closed when one of its connections stops carrying data.
 type endpoint struct {
-	pooled     *http.Transport
-	control    *http.Transport
+	pooled     *transport.Transport
+	control    *transport.Transport
 	lastUsedAt time.Time
 
 	mu          sync.Mutex
@@ -79,7 +80,7 @@
 type endpoints struct {
 	// singleUse opens a new connection for each request. It never takes a broken
 	// connection from a pool and therefore never replays a request.
-	singleUse *http.Transport
+	singleUse *transport.Transport
 
 	mu          sync.Mutex
 	byAddress   map[string]*endpoint
@@ -92,7 +93,7 @@
 	return e
 }
 
-func newTransport() *http.Transport {
+func newTransport() *transport.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}
@@ -100,12 +101,12 @@
 	// requests.
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	return &http.Transport{
+	return transport.New(&http.Transport{
 		DialContext: unlessAbandoned(dialer.DialContext), DisableCompression: true, Protocols: protocols,
 		MaxIdleConnsPerHost: maxIdleConnsPerAddress, IdleConnTimeout: idleConnTimeout,
 		ReadBufferSize: readBufferBytes, WriteBufferSize: writeBufferBytes,
 		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
-	}
+	})
 }
 
 // ErrAbandoned means that a request was not sent because nobody waits for its answer.
@@ -162,11 +163,11 @@
 	}
 }
 
-func (e *endpoints) controlTransport(r *http.Request) *http.Transport {
+func (e *endpoints) controlTransport(r *http.Request) *transport.Transport {
 	return e.get(r.URL.Host).control
 }
 
-func (e *endpoints) attemptTransport(r *http.Request) *http.Transport {
+func (e *endpoints) attemptTransport(r *http.Request) *transport.Transport {
 	if a, ok := r.Context().Value(attemptKey{}).(*attempt); ok && a.newConnection {
 		return e.singleUse
 	}
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -16,6 +16,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	"github.com/apricotgrade/apricotgrade/pkg/transport"
 )
 
 const (
@@ -54,12 +55,12 @@
 		endpoints: e,
 		attempts:  httpc.NewServiceWithClient(serviceName, newHTTPClient(e.attemptTransport)),
 		control:   newHTTPClient(e.controlTransport),
-		singleUse: newHTTPClient(func(*http.Request) *http.Transport { return e.singleUse }),
+		singleUse: newHTTPClient(func(*http.Request) *transport.Transport { return e.singleUse }),
 	}
 }
 
 // transportSelector selects the transport for each request.
-type transportSelector func(*http.Request) *http.Transport
+type transportSelector func(*http.Request) *transport.Transport
 
 // RoundTrip implements http.RoundTripper.
 func (f transportSelector) RoundTrip(r *http.Request) (*http.Response, error) {
