Take no answer whose status line is malformed

What callers saw: a target answers with status 000, or another one below 100. The caller's connection ends without any answer, as net/http accepts such a status when it reads an answer and panics when it writes one. An answer with status 101 reaches the caller as such, without the body, although nobody has asked for another protocol. Answers of HTTP/2.0, 0.9 or 9.9, or with control bytes in the reason, are passed on as sound ones.

Cause: net/http reads status lines more leniently than RFC 9112: any three characters that are a number not below 0, any version of two digits, any reason. Nothing behind it asks whether the head is one.

Change: pkg/transport checks the bytes of each head while they are read, and the error of the request names it. This one place decides for attempts, probes, orders, reports and the store, before anything acts on an answer; no reader can forget it. A request whose answer is malformed is treated as one whose answer was lost: it may have run, so that it gets 502, or another attempt where its route allows that.

--- a/pkg/core/quarantine/moment.go
+++ b/pkg/core/quarantine/moment.go
@@ -41,7 +41,7 @@
 	// target which ends look alike: those that it only held start at another one.
 	lostAtBeginning
 	// lostBeforeHead is the loss of a stream without a head. The requests that only wait at a
-	// target which ends look the same, and so does an answer that is not HTTP.
+	// target which ends look the same, and so does an answer that ends in its first line.
 	lostBeforeHead
 )
 
--- a/pkg/core/quarantine/suspicion.go
+++ b/pkg/core/quarantine/suspicion.go
@@ -18,7 +18,7 @@
 
 // suspicions holds the streams that were lost before the head of their answer, by the process
 // that they were sent to. Such a loss is evidence only if the process has ended: an answer that
-// is not HTTP, or a connection that was cut, looks the same.
+// ends in its first line, or a connection that was cut, looks the same.
 type suspicions map[Process]*suspicion
 
 type suspicion struct {
--- a/pkg/gateway/abandonedanswer_test.go
+++ b/pkg/gateway/abandonedanswer_test.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"bufio"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/apricotgrade/apricotgrade/pkg/apierror"
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 	"github.com/apricotgrade/apricotgrade/pkg/memory"
 )
@@ -45,3 +48,28 @@
 		p.g.Expect(a.result.LostBeforeAnswer()).To(BeFalse(), name)
 	}
 }
+
+// TestMalformedAnswerShowsNoCrash guards against the same for bytes that are no answer.
+func TestMalformedAnswerShowsNoCrash(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		c, err := listener.Accept()
+		if err == nil {
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	}()
+	p := newRoutedPair(t)
+	a := p.begin(2, true)
+	req, err := http.NewRequest(http.MethodPost, "http://"+listener.Addr().String(), http.NoBody)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = p.gateway.targets.Do(req, true) //nolint:bodyclose // There is no answer.
+	g.Expect(err).To(HaveOccurred())
+	a.fail(err)
+	g.Expect(a.result.Failure).To(Equal(state.FailureConnectionLost))
+	g.Expect(a.result.Outcome).To(Equal(apierror.Unknown))
+	g.Expect(a.result.LostBeforeAnswer()).To(BeFalse())
+}
--- a/pkg/gateway/routedattempt.go
+++ b/pkg/gateway/routedattempt.go
@@ -16,6 +16,7 @@
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
 	"github.com/apricotgrade/apricotgrade/pkg/memory"
 	"github.com/apricotgrade/apricotgrade/pkg/target"
+	"github.com/apricotgrade/apricotgrade/pkg/transport"
 )
 
 const (
@@ -92,7 +93,8 @@
 		a.result.Failure = state.FailureCancelled
 	}
 	// This node has ended the attempt, and the target goes on.
-	a.result.InvalidAnswer = errors.Is(err, errTooLong) || errors.Is(err, errMemoryFull) || errors.Is(err, errPartialEventTooLarge)
+	a.result.InvalidAnswer = errors.Is(err, transport.ErrMalformedHead) ||
+		errors.Is(err, errTooLong) || errors.Is(err, errMemoryFull) || errors.Is(err, errPartialEventTooLarge)
 }
 
 // receive processes the answer of the target.
--- /dev/null
+++ b/pkg/transport/head.go
@@ -0,0 +1,81 @@
+package transport
+
+import (
+	"bytes"
+	"regexp"
+
+	"github.com/pkg/errors"
+)
+
+// ErrMalformedHead means that a peer has sent bytes that are not the head of an answer. It is part
+// of the errors of requests.
+var ErrMalformedHead = errors.New("the head of the answer is malformed")
+
+// statusLine is the first line of a head (RFC 9112, section 4) of any minor version of HTTP/1,
+// with the status as its submatch. As there, several blanks may separate its parts, and the blank
+// after the status may be missing.
+var statusLine = regexp.MustCompile(`^HTTP/1\.[0-9] +([1-9][0-9]{2})(?: [^\x00-\x08\x0a-\x1f\x7f]*)?$`)
+
+// switchingProtocols is a status that answers only requests with an Upgrade field, which this node
+// never sends.
+const switchingProtocols = "101"
+
+// headPart is the part of an answer that the next line belongs to.
+type headPart uint8
+
+const (
+	partStatusLine headPart = iota
+	partFields
+	partBody
+)
+
+// headCheck checks the heads of an answer, of which all but the last are informational, while
+// they are read. net/http also accepts heads that are none.
+type headCheck struct {
+	next headPart
+	// isInformational is set in a head with a 1xx status.
+	isInformational bool
+	// partialLine is the beginning of a line. The transport bounds the size of a head.
+	partialLine []byte
+	// err wraps ErrMalformedHead once a line is malformed.
+	err error
+}
+
+// check checks the next bytes of an answer.
+func (h *headCheck) check(b []byte) {
+	for h.next != partBody && h.err == nil {
+		line, rest, isWhole := bytes.Cut(b, []byte("\n"))
+		if !isWhole {
+			h.partialLine = append(h.partialLine, line...)
+			return
+		}
+		if len(h.partialLine) > 0 {
+			line, h.partialLine = append(h.partialLine, line...), nil
+		}
+		h.err = h.checkLine(bytes.TrimSuffix(line, []byte("\r")))
+		b = rest
+	}
+}
+
+func (h *headCheck) checkLine(line []byte) error {
+	switch {
+	case h.next == partStatusLine:
+		return h.checkStatusLine(line)
+	case len(line) > 0:
+		return nil
+	case h.isInformational:
+		h.next = partStatusLine
+	default:
+		h.next = partBody
+	}
+	return nil
+}
+
+func (h *headCheck) checkStatusLine(line []byte) error {
+	match := statusLine.FindSubmatch(line)
+	if match == nil || string(match[1]) == switchingProtocols {
+		return errors.Wrapf(ErrMalformedHead, "status line %.40q", line)
+	}
+	h.next, h.isInformational = partFields, match[1][0] == '1'
+	return nil
+}
--- a/pkg/transport/transport.go
+++ b/pkg/transport/transport.go
@@ -8,15 +8,18 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"os"
+	"sync"
 	"syscall"
 
 	"github.com/pkg/errors"
 )
 
-// Transport is an http.RoundTripper for plain HTTP/1.1. An answer that ends with its connection
-// is complete only if the peer has closed the connection; after a reset, the error of its body
-// wraps syscall.ECONNRESET.
+// Transport is an http.RoundTripper for plain HTTP/1.1. The error of a request whose answer has a
+// malformed head wraps ErrMalformedHead. An answer that ends with its connection is complete only
+// if the peer has closed the connection; after a reset, the error of its body wraps
+// syscall.ECONNRESET.
 type Transport struct{ *http.Transport }
 
 // New returns a transport with the settings of base, which must not be used otherwise.
@@ -35,8 +38,62 @@
 	return &Transport{base}
 }
 
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	var used *conn
+	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { used, _ = info.Conn.(*conn) },
+		PutIdleConn: func(err error) {
+			if err == nil && used != nil {
+				used.answerEnded()
+			}
+		},
+	})
+	res, err := t.Transport.RoundTrip(req.WithContext(ctx))
+	if used == nil {
+		return res, err
+	}
+	if headErr := used.headError(); headErr != nil {
+		if res != nil {
+			_ = res.Body.Close()
+		}
+		// The connection of an answer without a body may be in the pool again.
+		_ = used.Close()
+		return nil, headErr
+	}
+	return res, err
+}
+
 // conn is a connection on which answers are read.
-type conn struct{ net.Conn }
+type conn struct {
+	net.Conn
+
+	mu   sync.Mutex
+	head headCheck
+}
+
+// answerEnded is called when the whole answer has been read and the connection is idle. The next
+// bytes are a head, also if they come before the next request.
+func (c *conn) answerEnded() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.head.err == nil {
+		c.head = headCheck{}
+	}
+}
+
+// headError returns the error of the head that was read last.
+func (c *conn) headError() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.err
+}
+
+func (c *conn) checkHead(b []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.check(b)
+}
 
 // Read implements net.Conn. It returns io.EOF only if the peer has closed the connection.
 //
@@ -44,6 +101,7 @@
 // still being written gets the report, the read after it returns io.EOF.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	c.checkHead(b[:n])
 	if errors.Is(err, io.EOF) && wasReset(c.Conn) {
 		err = &net.OpError{
 			Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", syscall.ECONNRESET),
