Take no answer with a malformed field in its head

What callers saw: a target answers with a head in which a blank stands before a colon, inside a name or at the beginning of a line. The caller gets 200 without that line. Where the line was the length or the coding of the body, the caller gets another body than that of the target: more bytes than it counts, or the marks of the chunks. The same with chunks in an answer of HTTP/1.0. A stream goes on with such an answer.

Cause: net/http accepts names with blanks and reads nothing from them, joins a line that begins with a blank to the one before, and drops the coding of answers of HTTP/1.0. The name is lost later, when the head is written.

A head that fails is no answer to anybody who reads it.

--- a/pkg/transport/head.go
+++ b/pkg/transport/head.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"regexp"
+	"strings"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformedHead means that a peer has sent bytes that are not the head of an answer. It is part
@@ -12,9 +14,9 @@
 var ErrMalformedHead = errors.New("the head of the answer is malformed")
 
 // statusLine is the first line of a head (RFC 9112, section 4) of any minor version of HTTP/1,
-// with the status as its submatch. As there, several blanks may separate its parts, and the blank
+// with the minor version and the status as its submatches. As there, several blanks may separate its parts, and the blank
 // after the status may be missing.
-var statusLine = regexp.MustCompile(`^HTTP/1\.[0-9] +([1-9][0-9]{2})(?: [^\x00-\x08\x0a-\x1f\x7f]*)?$`)
+var statusLine = regexp.MustCompile(`^HTTP/1\.([0-9]) +([1-9][0-9]{2})(?: [^\x00-\x08\x0a-\x1f\x7f]*)?$`)
 
 // switchingProtocols is a status that answers only requests with an Upgrade field, which this node
 // never sends.
@@ -33,8 +35,8 @@
 // they are read. net/http also accepts heads that are none.
 type headCheck struct {
 	next headPart
-	// isInformational is set in a head with a 1xx status.
-	isInformational bool
+	// isInformational is set in a head with a 1xx status, and isVersion0 in one of HTTP/1.0.
+	isInformational, isVersion0 bool
 	// partialLine is the beginning of a line. The transport bounds the size of a head.
 	partialLine []byte
 	// err wraps ErrMalformedHead once a line is malformed.
@@ -62,7 +64,7 @@
 	case h.next == partStatusLine:
 		return h.checkStatusLine(line)
 	case len(line) > 0:
-		return nil
+		return h.checkField(line)
 	case h.isInformational:
 		h.next = partStatusLine
 	default:
@@ -73,9 +75,24 @@
 
 func (h *headCheck) checkStatusLine(line []byte) error {
 	match := statusLine.FindSubmatch(line)
-	if match == nil || string(match[1]) == switchingProtocols {
+	if match == nil || string(match[2]) == switchingProtocols {
 		return errors.Wrapf(ErrMalformedHead, "status line %.40q", line)
 	}
-	h.next, h.isInformational = partFields, match[1][0] == '1'
+	h.next, h.isInformational, h.isVersion0 = partFields, match[2][0] == '1', match[1][0] == '0'
+	return nil
+}
+
+// checkField checks a line of a head. A blank at its beginning makes it the continuation of the
+// line before, which RFC 9112 (section 5.2) lets a gateway refuse: net/http reads no length and
+// no coding from it. Nor does it read a coding from an answer of HTTP/1.0, the framing of which
+// is then faulty (section 6.1).
+func (h *headCheck) checkField(line []byte) error {
+	name, value, hasColon := strings.Cut(string(line), ":")
+	switch {
+	case !hasColon, !httpguts.ValidHeaderFieldName(name), !httpguts.ValidHeaderFieldValue(value):
+		return errors.Wrapf(ErrMalformedHead, "field %.40q", line)
+	case h.isVersion0 && strings.EqualFold(name, "Transfer-Encoding"):
+		return errors.Wrap(ErrMalformedHead, "transfer coding in an answer of HTTP/1.0")
+	}
 	return nil
 }
--- a/pkg/transport/head_test.go
+++ b/pkg/transport/head_test.go
@@ -11,6 +11,7 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+	"golang.org/x/net/http/httpguts"
 )
 
 const soundAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound"
@@ -141,6 +142,11 @@
 		if res.StatusCode < 100 || res.StatusCode == http.StatusSwitchingProtocols || res.ProtoMajor != 1 {
 			t.Fatalf("accepted: %s %s", res.Proto, res.Status)
 		}
+		for name := range res.Header {
+			if !httpguts.ValidHeaderFieldName(name) {
+				t.Fatalf("accepted: field %q", name)
+			}
+		}
 		if res.StatusCode >= 200 {
 			return
 		}
@@ -152,6 +158,9 @@
 	"status 000":          strings.Replace(soundAnswer, "200 OK", "000 OK", 1),
 	"status 000, no body": "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
 	"switch of protocols": strings.Replace(soundAnswer, "200 OK", "101 Switching Protocols", 1),
+	"blank before colon":  strings.Replace(soundAnswer, "Length:", "Length :", 1),
+	"continued line":      strings.Replace(soundAnswer, "Content-Length", "X-Own: kept\r\n Content-Length", 1),
+	"chunks of HTTP/1.0":  "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 	"version 2":           strings.Replace(soundAnswer, "HTTP/1.1", "HTTP/2.0", 1),
 	"after early hints":   "HTTP/1.1 103 Early Hints\r\n\r\n" + strings.Replace(soundAnswer, "200 OK", "000 OK", 1),
 }
