Read answers of the platform's services with the checks of pkg/transport

What was seen: on a node with declarations of its own, a write that the platform answers with 503 counts as without effect, also if the head of that answer is malformed. No caller has reported it; it was found when the readers of answers were listed.

Cause: this client has a transport of its own, as net/http provides it.

Change: it uses pkg/transport, with the same settings as before. Over TLS nothing is checked, which TestAnswersOverTLS holds.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -48,7 +48,7 @@
 // creates a client for the platform address in the settings.
 func New(cfg settings.Node, platform store.Platform, log *slog.Logger) (*Node, error) {
 	if platform == nil {
-		platform = store.NewClient(cfg.PlatformURL, &http.Client{})
+		platform = store.NewClient(cfg.PlatformURL)
 	}
 	listeners, err := listen(cfg)
 	if err != nil {
--- a/pkg/store/client.go
+++ b/pkg/store/client.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/apricotgrade/apricotgrade/pkg/core/state"
+	"github.com/apricotgrade/apricotgrade/pkg/transport"
 )
 
 // maxReplyBytes bounds the size of an answer of the platform.
@@ -27,8 +28,9 @@
 var _ Platform = (*Client)(nil)
 
 // NewClient returns a client of the platform at a base URL.
-func NewClient(base string, client *http.Client) *Client {
-	return &Client{base: strings.TrimSuffix(base, "/"), http: client}
+func NewClient(base string) *Client {
+	defaults := http.DefaultTransport.(*http.Transport).Clone()
+	return &Client{base: strings.TrimSuffix(base, "/"), http: &http.Client{Transport: transport.New(defaults)}}
 }
 
 // Transact implements Tables.
--- a/pkg/transport/head_test.go
+++ b/pkg/transport/head_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -97,6 +98,18 @@
 	}
 }
 
+// TestAnswersOverTLS guards against encrypted bytes that are checked as a head.
+func TestAnswersOverTLS(t *testing.T) {
+	g := NewWithT(t)
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "sound") }))
+	t.Cleanup(server.Close)
+	client := server.Client()
+	client.Transport = New(client.Transport.(*http.Transport))
+	body, err := get(client, server.URL)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(Equal("sound"))
+}
+
 // TestBytesAfterHeadAreNotChecked guards against a body that is taken for a part of the head.
 func TestBytesAfterHeadAreNotChecked(t *testing.T) {
 	g := NewWithT(t)
--- a/pkg/transport/transport.go
+++ b/pkg/transport/transport.go
@@ -16,7 +16,7 @@
 	"github.com/pkg/errors"
 )
 
-// Transport is an http.RoundTripper for plain HTTP/1.1. The error of a request whose answer has a
+// Transport is an http.RoundTripper for HTTP/1.1. It checks nothing over TLS. The error of a request whose answer has a
 // malformed head wraps ErrMalformedHead. An answer that ends with its connection is complete only
 // if the peer has closed the connection; after a reset, the error of its body wraps
 // syscall.ECONNRESET.
