--- a/pkg/transport/head.go
+++ b/pkg/transport/head.go
@@ -13,9 +13,9 @@
 // of the errors of requests.
 var ErrMalformedHead = errors.New("the head of the answer is malformed")
 
-// statusLine is the first line of a head (RFC 9112, section 4) of any minor version of HTTP/1,
-// with the minor version and the status as its submatches. As there, several blanks may separate its parts, and the blank
-// after the status may be missing.
+// statusLine is the first line of a head (RFC 9112, section 4) of any minor version of HTTP/1. Its
+// submatches are the minor version and the status. Several blanks may separate its parts, as the
+// section allows, and the blank after the status may be missing.
 var statusLine = regexp.MustCompile(`^HTTP/1\.([0-9]) +([1-9][0-9]{2})(?: [^\x00-\x08\x0a-\x1f\x7f]*)?$`)
 
 // switchingProtocols is a status that answers only requests with an Upgrade field, which this node
@@ -35,8 +35,8 @@
 // they are read. net/http also accepts heads that are none.
 type headCheck struct {
 	next headPart
-	// isInformational is set in a head with a 1xx status, and isVersion0 in one of HTTP/1.0.
-	isInformational, isVersion0 bool
+	// isInformational is set in a head with a 1xx status, and isHTTP10 in one of HTTP/1.0.
+	isInformational, isHTTP10 bool
 	// partialLine is the beginning of a line. The transport bounds the size of a head.
 	partialLine []byte
 	// err wraps ErrMalformedHead once a line is malformed.
@@ -78,7 +78,7 @@
 	if match == nil || string(match[2]) == switchingProtocols {
 		return errors.Wrapf(ErrMalformedHead, "status line %.40q", line)
 	}
-	h.next, h.isInformational, h.isVersion0 = partFields, match[2][0] == '1', match[1][0] == '0'
+	h.next, h.isInformational, h.isHTTP10 = partFields, match[2][0] == '1', match[1][0] == '0'
 	return nil
 }
 
@@ -91,7 +91,7 @@
 	switch {
 	case !hasColon, !httpguts.ValidHeaderFieldName(name), !httpguts.ValidHeaderFieldValue(value):
 		return errors.Wrapf(ErrMalformedHead, "field %.40q", line)
-	case h.isVersion0 && strings.EqualFold(name, "Transfer-Encoding"):
+	case h.isHTTP10 && strings.EqualFold(name, "Transfer-Encoding"):
 		return errors.Wrap(ErrMalformedHead, "transfer coding in an answer of HTTP/1.0")
 	}
 	return nil
--- a/pkg/transport/transport.go
+++ b/pkg/transport/transport.go
@@ -1,6 +1,6 @@
 // Package transport provides the HTTP transport with which this node reads the answers of
-// targets, hosts and the platform. It makes up for what net/http takes for an answer although the
-// peer has sent none, or only a part of one.
+// targets, hosts and the platform. net/http takes some bytes for an answer that are none by
+// RFC 9112, and some parts of answers for whole ones; the requests fail here instead.
 package transport
 
 import (
@@ -16,10 +16,10 @@
 	"github.com/pkg/errors"
 )
 
-// Transport is an http.RoundTripper for HTTP/1.1. It checks nothing over TLS. The error of a request whose answer has a
+// Transport is an http.RoundTripper for HTTP/1.1. The error of a request whose answer has a
 // malformed head wraps ErrMalformedHead. An answer that ends with its connection is complete only
 // if the peer has closed the connection; after a reset, the error of its body wraps
-// syscall.ECONNRESET.
+// syscall.ECONNRESET. Heads are not checked over TLS.
 type Transport struct{ *http.Transport }
 
 // New returns a transport with the settings of base, which must not be used otherwise.
@@ -53,6 +53,7 @@
 	if used == nil {
 		return res, err
 	}
+	// The head has been read, and nothing has acted on the answer yet.
 	if headErr := used.headError(); headErr != nil {
 		if res != nil {
 			_ = res.Body.Close()
