Weigh the loss of an answer at any time of it

Callers saw: one part of prompts crashed a group one pass after the first event of each answer, two requests a second, and was never refused. About one in ten sound streams was served whole.

Cause: a stream that was lost later than 20 ms after its first event was no crash but a start, and a start cleared all crashes of its parts at all nodes. The verdict on a part that was sound lately waited without a bound for answers of others, which the crashes stop.

Change: a loss counts at any time, half from 100 ms after the first event on. Only an answer that ends, or outlives the lost one by far, and was sent after the crash speaks for a trait. Targets that end at the same moment count once. The wait ends after 2 s if targets go on ending; then, and after late losses alone, the trait is on probation: the nodes in turn try one request at once. The package's comment has the table, with the test of each line.

--- a/pkg/core/dispatch/trial_test.go
+++ b/pkg/core/dispatch/trial_test.go
@@ -142,6 +142,24 @@
 	}
 }
 
+// TestTraitOnProbationIsTriedAtOnce guards against a sound part that is refused for minutes although
+// the verdict on it was in doubt.
+func TestTraitOnProbationIsTriedAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t, 3)
+	r.registerNodes("n0", "n2")
+	r.quarantinePart()
+	r.tables.Managed.Quarantined[faultyTrait], r.tables.Managed.Probation[faultyTrait] = r.now, r.now
+	tried := r.arriveEachSecond(6*probationSlot, func(id state.RequestID) { r.cancelAttempt(id) })
+	g.Expect(tried).To(gomega.HaveLen(2), "once in each turn of this node")
+	g.Expect(gaps(tried)[1]).To(gomega.Equal(3 * probationSlot))
+}
+
+// cancelAttempt ends the last attempt of a request without evidence.
+func (r *rig) cancelAttempt(id state.RequestID) {
+	r.step(state.AttemptEvent{Request: id, Attempt: r.lastAttempt(id).Attempt, Stage: state.AttemptEnded, Failure: state.FailureCancelled, Outcome: apierror.Unknown})
+}
+
 // TestTrialEndsWithAnotherCrash guards against a trial that goes on, and may end its target, after
 // the trial of another node has shown that the part still does so.
 func TestTrialEndsWithAnotherCrash(t *testing.T) {
--- a/pkg/core/quarantine/doc.go
+++ b/pkg/core/quarantine/doc.go
@@ -10,18 +10,32 @@
 // that runs it, with all requests there.
 //
 // The evidence is kept by trait: a part of prompts, or the whole request, by which its
-// repetitions are recognised. A crash is an attempt whose connection was lost at the moment
-// at which the request may have ended the target; the type moment lists them. Of a stream that
-// is from the head of its answer until shortly after the first event. An engine begins one
-// answer after the other, so that of all streams of a group that ends this is the state of few.
-// Other answers have no head before they are complete, so that each request that the target
-// held may be at fault. A start is an answer of any request with the trait that goes on after
-// its beginning, or is complete: it clears the trait's crashes. Sound traits start all the time,
-// the one at fault never does. A trait is put into quarantine after crashes of three processes
-// without a start. From some minutes after its last crash the nodes take turns to try one
-// request with it, so that a trait that was put there wrongly, or whose targets have been
-// mended, is released while its requests go on arriving. Of the plainer rules, quarantine at the
-// first crash takes in the sound traits of each request that was lost at that moment, and a
-// quarantine of the first part or of the client account all requests that share it with the part
-// at fault.
+// repetitions are recognised. What counts, for and against, with the test of each line:
+//
+//	a process is lost while it answers: a crash of all traits   TestMomentsOfLoss
+//	the same well after the first event: half a crash           TestLateLossesCountHalf
+//	targets that end at the same moment: one crash              TestLossesAtTheSameMomentCountOnce
+//	a whole answer, sent after the crash: sound                 TestOnlyAWholeAnswerEndsTheSuspicion,
+//	                                                            TestAnswerSentBeforeTheCrashProvesNothing
+//	an answer that outlives the lost one by far: sound          TestLongAnswersOfASoundPartEndItsWait
+//	the process answers later: no crash                         TestLivingProcessClearsItsCrash
+//	three crashes of a trait that was not sound lately: verdict TestPartThatEndsThreeTargetsIsQuarantined
+//	of one that was sound lately: when others were answered     TestPartThatWasSoundIsQuarantined
+//	or when the wait ends: probation                            TestWaitForAVerdictEnds
+//	trials on probation end targets: verdict                    TestProbationEnds
+//
+// An engine begins one answer after the other, so that of all streams of a group that ends few
+// are at the beginning of their answer. Later the loss says less, and more losses make a verdict:
+// doubt grows with the distance from the cause, and no loss counts for nothing. Other answers have
+// no head before they are complete, so that each request that the target held may be at fault.
+// Sound traits are answered all the time, the one at fault never is.
+//
+// A trait in quarantine is refused at once by all nodes. From some minutes after its last crash they
+// take turns to try one request with it, so that a trait that was put there wrongly, or whose
+// targets have been mended, is released while its requests go on arriving. A trait that may be
+// sound is on probation, where the trials begin at once.
+//
+// Of the plainer rules, quarantine at the first crash takes in the sound traits of each request that
+// was lost at that moment, and a quarantine of the first part or of the client account all requests
+// that share it with the part at fault.
 package quarantine
--- a/pkg/core/quarantine/lift.go
+++ b/pkg/core/quarantine/lift.go
@@ -142,7 +142,7 @@
 func (s *System) completeLift(now time.Duration, version state.Version, out *state.Outbox) {
 	command := s.lift.command
 	s.lift = nil
-	s.spread(s.ledger.Release(now, command.Trait), "", out)
+	s.spread(s.ledger.Release(now, command.Trait), out)
 	out.Log(event.QuarantineLifted, slog.String("trait", command.Trait.Name()), slog.String("operator", command.Operator))
 	out.Add(state.OperatorReply{ID: command.ID, Version: version, Accepted: true, UnconfirmedNodes: []state.NodeID{}})
 }
--- a/pkg/core/quarantine/quarantine.go
+++ b/pkg/core/quarantine/quarantine.go
@@ -30,16 +30,16 @@
 	rows    rowKeeper
 	// suspicions holds losses that are evidence once their process has ended.
 	suspicions suspicions
-	// beginnings holds the answers that have just begun.
-	beginnings beginnings
+	// lateLosses holds the losses that are booked with the next tick.
+	lateLosses []lateLoss
 	// lift is the operator's command in progress, nil if there is none.
 	lift *lift
 }
 
 // New returns the quarantine system.
 func New(t *state.Tables) *System {
-	s := &System{tables: t, managed: t.Managed, ledger: NewLedger(), rows: rowKeeper{known: map[string]state.Trait{}}, suspicions: suspicions{}, beginnings: newBeginnings()}
-	s.managed.Quarantined = s.ledger.Quarantined()
+	s := &System{tables: t, managed: t.Managed, ledger: NewLedger(), rows: rowKeeper{known: map[string]state.Trait{}}, suspicions: suspicions{}}
+	s.managed.Quarantined, s.managed.Probation = s.ledger.Quarantined(), s.ledger.Probation()
 	return s
 }
 
@@ -47,18 +47,17 @@
 func (s *System) Step(now time.Duration, in state.Input, out *state.Outbox) {
 	from := state.NodeID("")
 	s.readRows(now, out)
-	s.confirmBeginnings(now, out)
 	switch in := in.(type) {
 	case state.AttemptEvent:
 		s.handleAttemptEvent(now, in, out)
 	case state.PeerMessage:
 		if report := in.Message.TraitReport; report != nil {
 			from = in.From
-			s.spread(s.ledger.Merge(now, report.Crashes), from, out)
+			s.relay(state.TraitReport{Crashes: s.ledger.Merge(now, report.Crashes, report.AreOld), AreOld: report.AreOld}, from, out)
 		}
 	case state.PeerLinkChanged:
 		if in.Up {
-			send(s.ledger.Crashes(maxCrashesAtLinkUp), in.Peer, out)
+			send(state.TraitReport{Crashes: s.ledger.Crashes(maxCrashesAtLinkUp), AreOld: true}, in.Peer, out)
 		}
 	case state.OperatorCommand:
 		s.handleCommand(now, in, out)
@@ -68,6 +67,8 @@
 		for trait, at := range s.managed.QuarantinedArrivals {
 			s.ledger.Arrive(at, trait)
 		}
+		s.bookLateLosses(now, out)
+		s.spread(s.ledger.ConfirmRunning(now), out)
 		s.ledger.Tick(now)
 		s.confirmSuspicions(now, out)
 		s.writeRows(now, out)
@@ -78,8 +79,9 @@
 // handleAttemptEvent adds what an attempt shows on the traits of its request.
 func (s *System) handleAttemptEvent(now time.Duration, ev state.AttemptEvent, out *state.Outbox) {
 	key := attemptKey{ev.Request, ev.Attempt}
-	if ev.Stage == state.AttemptEnded && ev.Failure != state.FailureCancelled {
-		defer s.beginnings.remove(key)
+	running, hasBegun := s.ledger.running[key]
+	if ev.Stage == state.AttemptEnded {
+		delete(s.ledger.running, key)
 	}
 	req := s.tables.Requests.Get(ev.Request)
 	if req == nil || len(req.Traits) == 0 {
@@ -89,48 +91,56 @@
 	if !open {
 		return
 	}
-	process := Process{Host: state.HostID(attempt.Target), StartID: attempt.StartID}
-	switch momentOf(req, ev, s.beginnings.has(key)) {
+	if !hasBegun {
+		running = runningAnswer{sentAt: attempt.SentAt, beganAt: now, resumed: isResumed(req), traits: req.Traits}
+	}
+	process, shown := Process{Host: state.HostID(attempt.Target), StartID: attempt.StartID}, running.at(now)
+	shown.complete = true
+	switch momentOf(req, ev, hasBegun) {
 	case beginning:
-		s.suspicions.clear(process, attempt.SentAt)
-		s.beginnings.add(key, answerBeginning{process: process, sentAt: attempt.SentAt, firstEventAt: now, traits: req.Traits})
+		s.recordAlive(now, process, attempt.SentAt, out)
+		s.ledger.running[key] = running
 	case completed:
-		s.suspicions.clear(process, attempt.SentAt)
-		s.spread(s.ledger.Start(now, process, attempt.SentAt, req.Traits), "", out)
+		s.recordAlive(now, process, attempt.SentAt, out)
+		s.spread(s.ledger.Sound(now, shown, req.Traits), out)
 	case answered:
-		s.suspicions.clear(process, attempt.SentAt)
-		s.spread(s.ledger.Start(now, process, attempt.SentAt, ofKind(req.Traits, state.RequestTrait)), "", out)
-	case lostAtBeginning:
-		s.spread(s.ledger.Crash(now, process, req.Traits), "", out)
+		s.recordAlive(now, process, attempt.SentAt, out)
+		s.spread(s.ledger.Sound(now, shown, ofKind(req.Traits, state.RequestTrait)), out)
+	case lostAnswer:
+		s.recordLoss(now, process, attempt.SentAt, shown.age, req.Traits, out)
 	case lostBeforeHead:
-		s.recordHeadlessLoss(now, process, req.Traits)
+		s.recordHeadlessLoss(now, process, attempt.SentAt, req.Traits)
 	}
 }
 
-// confirmBeginnings counts the answers that have gone on for beginningTime as starts.
-func (s *System) confirmBeginnings(now time.Duration, out *state.Outbox) {
-	for _, b := range s.beginnings.takeBefore(now - beginningTime) {
-		s.spread(s.ledger.Start(now, b.process, b.sentAt, b.traits), "", out)
-	}
+// recordAlive records that a process has answered a request.
+func (s *System) recordAlive(now time.Duration, process Process, sentAt time.Duration, out *state.Outbox) {
+	s.suspicions.clear(process, sentAt)
+	s.spread(s.ledger.ConfirmAlive(now, process, sentAt), out)
 }
 
 func ofKind(traits []state.Trait, kind state.TraitKind) []state.Trait {
 	return slices.DeleteFunc(slices.Clone(traits), func(t state.Trait) bool { return t.Kind != kind })
 }
 
-// spread sends evidence to all nodes.
-func (s *System) spread(crashes []state.TraitCrash, from state.NodeID, out *state.Outbox) {
-	if len(crashes) == 0 {
+// spread sends evidence that has just arisen at this node to all nodes.
+func (s *System) spread(crashes []state.TraitCrash, out *state.Outbox) {
+	s.relay(state.TraitReport{Crashes: crashes}, "", out)
+}
+
+// relay sends a report to all nodes. from is the peer from which it came, empty for this node.
+func (s *System) relay(report state.TraitReport, from state.NodeID, out *state.Outbox) {
+	if len(report.Crashes) == 0 {
 		return
 	}
 	for _, id := range s.managed.RelayTargets(s.tables.Self.ID, from) {
-		send(crashes, id, out)
+		send(report, id, out)
 	}
 }
 
-func send(crashes []state.TraitCrash, to state.NodeID, out *state.Outbox) {
-	for chunk := range slices.Chunk(crashes, maxCrashesPerMessage) {
-		out.Add(state.SendPeer{To: to, Message: state.Message{TraitReport: &state.TraitReport{Crashes: chunk}}})
+func send(report state.TraitReport, to state.NodeID, out *state.Outbox) {
+	for chunk := range slices.Chunk(report.Crashes, maxCrashesPerMessage) {
+		out.Add(state.SendPeer{To: to, Message: state.Message{TraitReport: &state.TraitReport{Crashes: chunk, AreOld: report.AreOld}}})
 	}
 }
 
@@ -145,7 +155,7 @@
 		trait := slog.String(name, t.Trait.String())
 		if t.Quarantined {
 			s.managed.QuarantineVersion++
-			out.Log(begun, trait, slog.Int("targets", t.Targets), slog.Bool("tried", t.Tried), slog.String("from", string(from)))
+			out.Log(begun, trait, slog.Int("targets", t.Targets), slog.Bool("tried", t.Tried), slog.Bool("probation", t.Probation), slog.String("from", string(from)))
 			continue
 		}
 		out.Log(ended, trait, slog.Bool("reviewed", t.Reviewed), slog.String("from", string(from)))
--- a/pkg/core/quarantine/rows.go
+++ b/pkg/core/quarantine/rows.go
@@ -34,14 +34,14 @@
 	k.version = s.managed.QuarantineRowsVersion
 	for _, key := range state.SortedKeys(k.known) {
 		if _, ok := s.managed.QuarantineRows[key]; !ok {
-			s.spread(s.ledger.Release(now, k.known[key]), "", out)
+			s.spread(s.ledger.Release(now, k.known[key]), out)
 			delete(k.known, key)
 		}
 	}
 	for _, key := range state.SortedKeys(s.managed.QuarantineRows) {
 		if row := s.managed.QuarantineRows[key]; k.known[key] != row.Trait {
 			k.known[key] = row.Trait
-			s.ledger.Merge(now, crashesOf(row))
+			s.ledger.Merge(now, crashesOf(row), true)
 		}
 	}
 }
@@ -68,6 +68,9 @@
 		return
 	}
 	for _, trait := range sortedTraits(s.ledger.Quarantined()) {
+		if _, onProbation := s.ledger.probation[trait]; onProbation {
+			continue
+		}
 		key := state.QuarantineKey(trait)
 		if row := s.managed.QuarantineRows[key]; row.Revision > 0 && state.EraOf(row.Revision) == state.EraOf(table.Revision) {
 			continue
@@ -77,7 +80,7 @@
 		return
 	}
 	for _, key := range state.SortedKeys(s.managed.QuarantineRows) {
-		if row := s.managed.QuarantineRows[key]; row.Revision > 0 && len(s.ledger.CrashesOf(row.Trait)) < minCrashes {
+		if row := s.managed.QuarantineRows[key]; row.Revision > 0 && !s.ledger.HasEvidence(row.Trait) {
 			s.transact(now, state.Condition{Key: key, Revision: row.Revision}, state.Write{Key: key}, out)
 			return
 		}
--- a/pkg/core/quarantine/suspicion.go
+++ b/pkg/core/quarantine/suspicion.go
@@ -22,18 +22,20 @@
 type suspicions map[Process]*suspicion
 
 type suspicion struct {
-	at     time.Duration
+	at time.Duration
+	// sentAt is when the last of the streams was sent.
+	sentAt time.Duration
 	traits []state.Trait
 }
 
 // add records the loss of a stream with some traits at a process.
-func (s suspicions) add(now time.Duration, process Process, traits []state.Trait) {
+func (s suspicions) add(now time.Duration, process Process, sentAt time.Duration, traits []state.Trait) {
 	known := s[process]
 	switch {
 	case known != nil:
-		known.traits = append(known.traits, traits...)
+		known.sentAt, known.traits = max(known.sentAt, sentAt), append(known.traits, traits...)
 	case len(s) < maxSuspicions:
-		s[process] = &suspicion{at: now, traits: traits}
+		s[process] = &suspicion{at: now, sentAt: sentAt, traits: traits}
 	}
 }
 
@@ -44,22 +46,12 @@
 	}
 }
 
-// take removes the suspicion on a process that has ended and returns the traits.
-func (s suspicions) take(process Process) []state.Trait {
-	known := s[process]
-	delete(s, process)
-	if known == nil {
-		return nil
-	}
-	return known.traits
-}
-
 // recordHeadlessLoss suspects the request of a stream that was lost before its head. Its parts are
 // not suspected, since the requests that only wait at a target which ends are lost in the same
 // way and share them.
-func (s *System) recordHeadlessLoss(now time.Duration, process Process, traits []state.Trait) {
+func (s *System) recordHeadlessLoss(now time.Duration, process Process, sentAt time.Duration, traits []state.Trait) {
 	if row := s.managed.Instances.Get(process.Host); row != nil && row.StartID == process.StartID {
-		s.suspicions.add(now, process, ofKind(traits, state.RequestTrait))
+		s.suspicions.add(now, process, sentAt, ofKind(traits, state.RequestTrait))
 	}
 }
 
@@ -78,13 +70,8 @@
 	}
 	slices.SortFunc(ended, func(a, b Process) int { return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.StartID, b.StartID)) })
 	for _, process := range ended {
-		s.confirm(now, process, out)
-	}
-}
-
-// confirm records the end of a process.
-func (s *System) confirm(now time.Duration, process Process, out *state.Outbox) {
-	if traits := s.suspicions.take(process); len(traits) > 0 {
-		s.spread(s.ledger.Crash(now, process, traits), "", out)
+		known := s.suspicions[process]
+		delete(s.suspicions, process)
+		s.spread(s.ledger.Crash(now, process, known.sentAt, 0, known.traits), out)
 	}
 }
--- a/pkg/core/state/managedstate.go
+++ b/pkg/core/state/managedstate.go
@@ -41,6 +41,9 @@
 	// Quarantined holds the traits whose requests are not run, with the time from which the
 	// nodes try one of them in turn. Written by the quarantine system.
 	Quarantined map[Trait]time.Duration
+	// Probation holds the traits in quarantine whose trials begin at once, with the time at which it
+	// began. Written by the quarantine system.
+	Probation map[Trait]time.Duration
 	// QuarantinedArrivals holds when a request with a trait in quarantine last arrived at
 	// this node. Written by the dispatch system.
 	QuarantinedArrivals map[Trait]time.Duration
@@ -110,7 +113,7 @@
 func NewManagedState() *ManagedState {
 	m := &ManagedState{
 		Evacuated: map[DataCentre]bool{}, Instances: NewTable[HostID, Instance](), Departures: map[HostID]Departure{},
-		PausedTargets: map[HostID]TargetPause{}, TargetLimits: map[HostID]TargetLimit{}, LinkedPeers: map[NodeID]bool{}, Quarantined: map[Trait]time.Duration{}, QuarantinedArrivals: map[Trait]time.Duration{}, QuarantineRows: map[string]QuarantineRow{},
+		PausedTargets: map[HostID]TargetPause{}, TargetLimits: map[HostID]TargetLimit{}, LinkedPeers: map[NodeID]bool{}, Quarantined: map[Trait]time.Duration{}, Probation: map[Trait]time.Duration{}, QuarantinedArrivals: map[Trait]time.Duration{}, QuarantineRows: map[string]QuarantineRow{},
 		Nodes: NewTable[NodeID, RegisteredNode](), StalledTargets: map[HostID]time.Duration{},
 		PeerStalledTargets: map[HostID]time.Duration{}, GloballyStalledTargets: map[HostID]time.Duration{}, Loads: map[HostID]*TargetLoad{},
 		PeerLoads: map[NodeID][]TargetLoad{}, PeerStatusAt: map[NodeID]time.Duration{},
--- a/pkg/core/state/trait.go
+++ b/pkg/core/state/trait.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // TraitKind is the kind of a Trait.
@@ -66,7 +67,7 @@
 	return traits
 }
 
-// TraitCrash is the evidence that a process ended when it began to answer a request with
+// TraitCrash is the evidence that a process ended while it answered a request with
 // a trait. Nodes exchange this evidence. All that saw the end of the process report the
 // same crash. Cleared is set for good once the trait or the process has turned out to be
 // sound, so that neither the order nor the repetition of reports matters.
@@ -75,6 +76,12 @@
 	Host    HostID `cbor:"2,keyasint"`
 	StartID int64  `cbor:"3,keyasint,omitempty"`
 	Cleared bool   `cbor:"4,keyasint,omitempty"`
+	// Age is the time from the first event of the answer to its loss, 0 if it had none.
+	Age time.Duration `cbor:"5,keyasint,omitempty"`
+	// Ran is the time from the sending of the request to the loss.
+	Ran time.Duration `cbor:"7,keyasint,omitempty"`
+	// Tried is set if the request was a trial of the trait.
+	Tried bool `cbor:"6,keyasint,omitempty"`
 }
 
 // QuarantineRow is a row of NodeTable that keeps the evidence on a trait in quarantine, so
@@ -94,6 +101,8 @@
 // TraitReport spreads crashes to all nodes.
 type TraitReport struct {
 	Crashes []TraitCrash `cbor:"1,keyasint"`
+	// AreOld is set if the crashes are not reported as they happen.
+	AreOld bool `cbor:"2,keyasint,omitempty"`
 }
 
 // RelayTargets returns the linked peers to which a node sends a message that all nodes
