Clear crashes only at a process that is known to be the same

Callers saw: a request that crashes the replicas which run it was refused after three crashes, until these were back under their IDs, and then crashed them again.

Cause: an answer to a request sent after a crash cleared it, since the process had not ended. The process of an answer is the one in the list of hosts, which a new process under the same ID changes with its first heartbeat, up to 1.2 s after it listens. The clear is final and is spread. The suspicion on streams lost before their head rested on the same.

Change: such an answer waits until the host's entry has been written twice and still names the process; the first entry may have been on its way. It is dropped if the entry names another process or is gone.

TestNextProcessUnderAnIDClearsNothing fails on the code before with the entry 0.2 to 1.2 s late, and passes.

--- a/pkg/core/quarantine/doc.go
+++ b/pkg/core/quarantine/doc.go
@@ -18,7 +18,8 @@
 //	a whole answer, sent after the crash: sound                 TestOnlyAWholeAnswerEndsTheSuspicion,
 //	                                                            TestAnswerSentBeforeTheCrashProvesNothing
 //	an answer that outlives the lost one by far: sound          TestLongAnswersOfASoundPartEndItsWait
-//	the process answers later: no crash                         TestLivingProcessClearsItsCrash
+//	the same process answers later: no crash                    TestLivingProcessClearsItsCrash,
+//	                                                            TestNextProcessUnderAnIDClearsNothing
 //	three crashes of a trait that was not sound lately: verdict TestPartThatEndsThreeTargetsIsQuarantined
 //	of one that was sound lately: when others were answered     TestPartThatWasSoundIsQuarantined
 //	or when the wait ends: probation                            TestWaitForAVerdictEnds
--- a/pkg/core/quarantine/ledger.go
+++ b/pkg/core/quarantine/ledger.go
@@ -233,16 +233,23 @@
 	return clears
 }
 
+// isAccused reports whether a process is believed to have ended before a time.
+func (l *Ledger) isAccused(process Process, at time.Duration) bool {
+	since, accused := l.accused[process]
+	return accused && since < at
+}
+
 // ConfirmAlive records that a process has answered a request that was sent at sentAt. It clears the
 // crashes at the process that were known before: it had not ended. ConfirmAlive returns what peers
 // do not know.
 func (l *Ledger) ConfirmAlive(now time.Duration, process Process, sentAt time.Duration) []state.TraitCrash {
+	if !l.isAccused(process, sentAt) {
+		return nil
+	}
+	delete(l.accused, process)
 	var clears []state.TraitCrash
-	if at, accused := l.accused[process]; accused && sentAt > at {
-		delete(l.accused, process)
-		for _, trait := range sortedTraits(l.records) {
-			clears = append(clears, l.clear(now, trait, func(c *crashRecord) bool { return c.process == process && c.at < sentAt })...)
-		}
+	for _, trait := range sortedTraits(l.records) {
+		clears = append(clears, l.clear(now, trait, func(c *crashRecord) bool { return c.process == process && c.at < sentAt })...)
 	}
 	return clears
 }
--- a/pkg/core/quarantine/quarantine.go
+++ b/pkg/core/quarantine/quarantine.go
@@ -30,6 +30,8 @@
 	rows    rowKeeper
 	// suspicions holds losses that are evidence once their process has ended.
 	suspicions suspicions
+	// sightings holds the answers of processes that are believed to have ended.
+	sightings map[Process]*sighting
 	// lateLosses holds the losses that are booked with the next tick.
 	lateLosses []lateLoss
 	// lift is the operator's command in progress, nil if there is none.
@@ -38,7 +40,7 @@
 
 // New returns the quarantine system.
 func New(t *state.Tables) *System {
-	s := &System{tables: t, managed: t.Managed, ledger: NewLedger(), rows: rowKeeper{known: map[string]state.Trait{}}, suspicions: suspicions{}}
+	s := &System{tables: t, managed: t.Managed, ledger: NewLedger(), rows: rowKeeper{known: map[string]state.Trait{}}, suspicions: suspicions{}, sightings: map[Process]*sighting{}}
 	s.managed.Quarantined, s.managed.Probation = s.ledger.Quarantined(), s.ledger.Probation()
 	return s
 }
@@ -71,6 +73,7 @@
 		s.spread(s.ledger.ConfirmRunning(now), out)
 		s.ledger.Tick(now)
 		s.confirmSuspicions(now, out)
+		s.confirmSightings(now, out)
 		s.writeRows(now, out)
 	}
 	s.logTransitions(from, out)
@@ -98,13 +101,13 @@
 	shown.complete = true
 	switch momentOf(req, ev, hasBegun) {
 	case beginning:
-		s.recordAlive(now, process, attempt.SentAt, out)
+		s.recordAnswer(now, process, attempt.SentAt)
 		s.ledger.running[key] = running
 	case completed:
-		s.recordAlive(now, process, attempt.SentAt, out)
+		s.recordAnswer(now, process, attempt.SentAt)
 		s.spread(s.ledger.Sound(now, shown, req.Traits), out)
 	case answered:
-		s.recordAlive(now, process, attempt.SentAt, out)
+		s.recordAnswer(now, process, attempt.SentAt)
 		s.spread(s.ledger.Sound(now, shown, ofKind(req.Traits, state.RequestTrait)), out)
 	case lostAnswer:
 		s.recordLoss(now, process, attempt.SentAt, shown.age, req.Traits, out)
@@ -113,12 +116,6 @@
 	}
 }
 
-// recordAlive records that a process has answered a request.
-func (s *System) recordAlive(now time.Duration, process Process, sentAt time.Duration, out *state.Outbox) {
-	s.suspicions.clear(process, sentAt)
-	s.spread(s.ledger.ConfirmAlive(now, process, sentAt), out)
-}
-
 func ofKind(traits []state.Trait, kind state.TraitKind) []state.Trait {
 	return slices.DeleteFunc(slices.Clone(traits), func(t state.Trait) bool { return t.Kind != kind })
 }
--- a/pkg/core/quarantine/suspicion.go
+++ b/pkg/core/quarantine/suspicion.go
@@ -39,9 +39,15 @@
 	}
 }
 
+// has reports whether a process was suspected before a time.
+func (s suspicions) has(process Process, at time.Duration) bool {
+	known := s[process]
+	return known != nil && known.at < at
+}
+
 // clear drops the suspicion on a process that has answered a request sent after the loss.
 func (s suspicions) clear(process Process, sentAt time.Duration) {
-	if known := s[process]; known != nil && sentAt > known.at {
+	if s.has(process, sentAt) {
 		delete(s, process)
 	}
 }
@@ -55,6 +61,10 @@
 	}
 }
 
+func compareProcesses(a, b Process) int {
+	return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.StartID, b.StartID))
+}
+
 // confirmSuspicions turns the suspicions on processes that have ended into crashes.
 func (s *System) confirmSuspicions(now time.Duration, out *state.Outbox) {
 	for process, suspicion := range s.suspicions {
@@ -68,7 +78,7 @@
 			ended = append(ended, process)
 		}
 	}
-	slices.SortFunc(ended, func(a, b Process) int { return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.StartID, b.StartID)) })
+	slices.SortFunc(ended, compareProcesses)
 	for _, process := range ended {
 		known := s.suspicions[process]
 		delete(s.suspicions, process)
--- a/pkg/core/quarantine/suspicion_test.go
+++ b/pkg/core/quarantine/suspicion_test.go
@@ -27,8 +27,17 @@
 		{"the target answers later and ends then", func(f *fleet, target int) {
 			f.now += time.Second
 			f.attempt(0, target, started, request(9))
+			for revision := range uint64(minRenewals) {
+				f.instances().Put(process(target).Host, &state.Instance{ID: process(target).Host, StartID: 1, Revision: revision + 1})
+				f.step(0, state.Tick{})
+			}
 			f.instances().Delete(process(target).Host)
 		}, false},
+		{"the next process under the ID answers", func(f *fleet, target int) {
+			f.now += time.Second
+			f.attempt(0, target, started, request(9))
+			f.instances().Put(process(target).Host, &state.Instance{ID: process(target).Host, StartID: 2, Revision: 1})
+		}, true},
 		{"the target ends much later", func(f *fleet, target int) {
 			f.now += suspicionTimeout + time.Second
 			f.step(0, state.Tick{})
