Keep all parts of a prompt as traits of its request

Callers saw: a part in the 18th place of prompts crashed one group after another, twice a second, and was never refused.

Cause: only the first 16 parts of a prompt were kept, so that nothing was booked on a later one. The ledger kept 256 traits of a kind, which one long prompt fills.

Change: all parts that a header can name are kept; the sizes for held prompts end with the 16th as before. Memory and messages are bounded by selectTraits: traits with evidence first, then those without an answer lately, of the youngest answers first, and 256 of the others. The ledger keeps 8,192 traits of a kind.

--- a/pkg/core/quarantine/ledger.go
+++ b/pkg/core/quarantine/ledger.go
@@ -50,9 +50,14 @@
 	// to speak against the crash before it is complete.
 	outliveTime = 500 * time.Millisecond
 	// maxTraits, for each kind, and maxCrashesPerTrait bound the memory. Traits without
-	// crashes take none.
-	maxTraits          = 256
+	// crashes take none. Two requests whose prompts fill a header have fewer parts.
+	maxTraits          = 8192
 	maxCrashesPerTrait = 16
+	// maxNewTraits bounds the traits of the requests which were lost with a process that a node adds
+	// to the evidence, and maxSoundTraits those among them that were sound here lately. See
+	// selectTraits.
+	maxNewTraits   = 4096
+	maxSoundTraits = 256
 	// clearedRetention is how long a cleared crash is remembered, so that a late report
 	// does not bring it back.
 	clearedRetention = time.Minute
@@ -82,6 +87,10 @@
 	// the wait began.
 	pending map[state.Trait]time.Duration
 	recent  [state.TraitKinds]recentTraits
+	// counts holds the number of records of each kind.
+	counts [state.TraitKinds]int
+	// added counts the traits that were added for a process, by selectTraits.
+	added map[Process]addedTraits
 	// running holds the answers at this node that are still running.
 	running     runningAnswers
 	transitions []Transition
@@ -136,6 +145,7 @@
 		records: map[state.Trait]*traitRecord{}, quarantined: map[state.Trait]time.Duration{},
 		probation: map[state.Trait]time.Duration{},
 		accused:   map[Process]time.Duration{}, pending: map[state.Trait]time.Duration{}, running: runningAnswers{},
+		added: map[Process]addedTraits{},
 	}
 }
 
@@ -143,6 +153,7 @@
 // sent at sentAt. age is the time since the first event of the answer, 0 before that. It returns
 // what peers do not know.
 func (l *Ledger) Crash(now time.Duration, process Process, sentAt, age time.Duration, traits []state.Trait) []state.TraitCrash {
+	traits = l.selectTraits(now, process, traits)
 	crashes := make([]state.TraitCrash, 0, len(traits))
 	for _, trait := range traits {
 		since, onProbation := l.probation[trait]
@@ -174,11 +185,12 @@
 	process := Process{crash.Host, crash.StartID}
 	record := l.records[crash.Trait]
 	if record == nil {
-		if l.countKind(crash.Trait.Kind) >= maxTraits && !l.evictTrait(crash.Trait.Kind) {
+		if l.counts[crash.Trait.Kind] >= maxTraits && !l.evictTraits(crash.Trait.Kind) {
 			return false
 		}
 		record = &traitRecord{knownAt: now}
 		l.records[crash.Trait] = record
+		l.counts[crash.Trait.Kind]++
 	}
 	if !record.add(now, crash, isOld) {
 		return false
@@ -487,13 +499,14 @@
 	for trait, record := range l.records {
 		record.crashes = slices.DeleteFunc(record.crashes, func(c crashRecord) bool { return c.cleared && now-c.at > clearedRetention })
 		if len(record.crashes) == 0 {
-			delete(l.records, trait)
+			l.forget(trait)
 		}
 		for _, c := range record.crashes {
 			accused[c.process] = accused[c.process] || !c.cleared
 		}
 	}
 	maps.DeleteFunc(l.accused, func(p Process, _ time.Duration) bool { return !accused[p] })
+	maps.DeleteFunc(l.added, func(p Process, _ addedTraits) bool { return !accused[p] })
 }
 
 // Transitions returns the transitions since the last call.
@@ -568,35 +581,3 @@
 	}
 	return -1
 }
-
-// countKind returns the number of traits of a kind with crashes.
-func (l *Ledger) countKind(kind state.TraitKind) int {
-	count := 0
-	for trait := range l.records {
-		if trait.Kind == kind {
-			count++
-		}
-	}
-	return count
-}
-
-// evictTrait forgets the trait of a kind that has been known longest among those with the
-// fewest crashes. It returns false if all of them are in quarantine.
-func (l *Ledger) evictTrait(kind state.TraitKind) bool {
-	var evicted state.Trait
-	found := false
-	for trait, record := range l.records {
-		if trait.Kind != kind || l.isQuarantined(trait) {
-			continue
-		}
-		best := l.records[evicted]
-		if !found || cmp.Or(cmp.Compare(record.count(), best.count()), cmp.Compare(record.knownAt, best.knownAt), state.CompareTraits(trait, evicted)) < 0 {
-			evicted, found = trait, true
-		}
-	}
-	if found {
-		delete(l.records, evicted)
-		delete(l.pending, evicted)
-	}
-	return found
-}
--- a/pkg/core/quarantine/recent.go
+++ b/pkg/core/quarantine/recent.go
@@ -10,7 +10,7 @@
 	// startMemory is how long a start is remembered at least; at most twice as long.
 	startMemory = 30 * time.Second
 	// maxRecentTraits bounds each of the two generations of recentTraits.
-	maxRecentTraits = 4096
+	maxRecentTraits = 16384
 )
 
 // recentTraits is the set of traits that have started in the last time. It forgets them
--- a/pkg/core/state/trait.go
+++ b/pkg/core/state/trait.go
@@ -55,7 +55,10 @@
 // Traits returns the traits of a request of a client account, of which prompt parts count
 // only at an engine.
 func (r *RoutedRequest) Traits(account AccountID, atEngine bool) []Trait {
-	var traits []Trait
+	if r.Fingerprint == 0 && (!atEngine || len(r.PromptParts) == 0) {
+		return nil
+	}
+	traits := make([]Trait, 0, len(r.PromptParts)+1)
 	if atEngine {
 		for _, part := range r.PromptParts {
 			traits = append(traits, Trait{PromptPartTrait, uint64(part)})
