Count losses with a common cause for less

Cause: with losses counted at any time of an answer, a time of many lost targets books crashes on parts that nearly all prompts have, which long answers clear late.

Change: three or more processes that end within 25 ms are a disturbance, of which late losses count for nothing and those at the beginning half. A loss later than 0.5 s counts a quarter. An answer that is lost itself speaks against the crashes that it has outlived by far.

--- a/pkg/core/quarantine/bounds.go
+++ b/pkg/core/quarantine/bounds.go
@@ -59,7 +59,7 @@
 	candidates := make([]candidate, 0, l.counts[kind])
 	for trait, record := range l.records {
 		if trait.Kind == kind && !l.isQuarantined(trait) {
-			candidates = append(candidates, candidate{trait, record.judge().weight, record.knownAt})
+			candidates = append(candidates, candidate{trait, record.judge(&l.disturbances).weight, record.knownAt})
 		}
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
--- a/pkg/core/quarantine/doc.go
+++ b/pkg/core/quarantine/doc.go
@@ -13,11 +13,14 @@
 // repetitions are recognised. What counts, for and against, with the test of each line:
 //
 //	a process is lost while it answers: a crash of all traits   TestMomentsOfLoss
-//	the same well after the first event: half a crash           TestLateLossesCountHalf
-//	targets that end at the same moment: one crash              TestLossesAtTheSameMomentCountOnce
+//	the same later in the answer: half a crash, or a quarter    TestLateLossesCountLess
+//	two targets that end at the same moment: one crash          TestLossesAtTheSameMomentCountOnce
+//	three or more, a disturbance: half a crash at the beginning
+//	of the answer, none later                                   TestDisturbanceCountsLess
 //	a whole answer, sent after the crash: sound                 TestOnlyAWholeAnswerEndsTheSuspicion,
 //	                                                            TestAnswerSentBeforeTheCrashProvesNothing
-//	an answer that outlives the lost one by far: sound          TestLongAnswersOfASoundPartEndItsWait
+//	an answer that outlives the lost one by far: sound, also if TestLongAnswersOfASoundPartEndItsWait,
+//	it is lost itself                                           TestLostAnswerOutlivesEarlierCrashes
 //	the same process answers later: no crash                    TestLivingProcessClearsItsCrash,
 //	                                                            TestNextProcessUnderAnIDClearsNothing
 //	three crashes of a trait that was not sound lately: verdict TestPartThatEndsThreeTargetsIsQuarantined
--- a/pkg/core/quarantine/ledger.go
+++ b/pkg/core/quarantine/ledger.go
@@ -20,10 +20,12 @@
 	// faulty only if its requests are lost three times in a row in the short time
 	// between the head of their answer and beginningTime after its first event.
 	minCrashes = 3
-	// crashWeight is the weight of a crash at the beginning of an answer, and lateCrashWeight that
-	// of a later one: the longer the answer has run, the more answers beside it may be at fault.
-	// The bounds of the platform begin with the fifth crash, and allow three more requests.
-	crashWeight, lateCrashWeight = 2, 1
+	// crashWeight is the weight of a crash at the beginning of an answer, lateCrashWeight that of a
+	// later one, and veryLateCrashWeight that of one later than lateTime: the longer the answer has
+	// run, the more answers beside it may be at fault. The bounds of the platform begin with the
+	// fifth crash, and allow three more requests.
+	crashWeight, lateCrashWeight, veryLateCrashWeight = 4, 2, 1
+	lateTime                                          = 500 * time.Millisecond
 	// verdictWeight is the weight at which a trait is put into quarantine.
 	verdictWeight = minCrashes * crashWeight
 	// reviewTime is the time from the last crash of a trait in quarantine to the next trial, and
@@ -87,6 +89,8 @@
 	// the wait began.
 	pending map[state.Trait]time.Duration
 	recent  [state.TraitKinds]recentTraits
+	// disturbances holds the moments at which several processes have ended.
+	disturbances disturbances
 	// counts holds the number of records of each kind.
 	counts [state.TraitKinds]int
 	// added counts the traits that were added for a process, by selectTraits.
@@ -153,6 +157,11 @@
 // sent at sentAt. age is the time since the first event of the answer, 0 before that. It returns
 // what peers do not know.
 func (l *Ledger) Crash(now time.Duration, process Process, sentAt, age time.Duration, traits []state.Trait) []state.TraitCrash {
+	// What was lost had outlived earlier crashes.
+	var news []state.TraitCrash
+	for _, trait := range traits {
+		news = append(news, l.clear(now, trait, answer{sentAt: sentAt, age: age}.clears)...)
+	}
 	traits = l.selectTraits(now, process, traits)
 	crashes := make([]state.TraitCrash, 0, len(traits))
 	for _, trait := range traits {
@@ -162,7 +171,7 @@
 			Age: age.Truncate(time.Millisecond), Ran: (now - sentAt).Truncate(time.Millisecond), Tried: onProbation && sentAt >= since,
 		})
 	}
-	return l.Merge(now, crashes, false)
+	return append(news, l.Merge(now, crashes, false)...)
 }
 
 // Merge adds crashes and clears that a peer reported or a row holds. areOld is set if they were not
@@ -197,6 +206,9 @@
 	}
 	if _, known := l.accused[process]; !known && !crash.Cleared {
 		l.accused[process] = now
+		if !isOld {
+			l.disturbances.add(now, now-crash.Ran)
+		}
 	}
 	if _, onProbation := l.probation[crash.Trait]; onProbation && crash.Tried {
 		record.failedTrials++
@@ -338,7 +350,7 @@
 	record := l.records[trait]
 	count := record.count()
 	_, quarantined := l.quarantined[trait]
-	v := record.judge()
+	v := record.judge(&l.disturbances)
 	if v.weight < verdictWeight {
 		record.reviewed = false
 		delete(l.pending, trait)
@@ -422,10 +434,9 @@
 }
 
 // judge weighs the crashes that are not cleared. Targets that end within disturbanceTime of each
-// other count once: they have a cause in common, such as a fabric domain or the connections of a
-// node. A request that was sent after the first of these ends is none of it: it may be the repeat
-// that ends the next target.
-func (r *traitRecord) judge() verdict {
+// other count once, unless the request was sent after the first of these ends: it may be the repeat
+// that ends the next target. In a disturbance late losses count for nothing.
+func (r *traitRecord) judge(d *disturbances) verdict {
 	var v verdict
 	weight, since := 0, time.Duration(0)
 	add := func() {
@@ -444,17 +455,26 @@
 			add()
 			since = c.at
 		}
-		weight = max(weight, c.weight())
+		switch w := c.weight(); {
+		case c.isOld || !d.has(c.at, c.sentAt):
+			weight = max(weight, w)
+		case w == crashWeight:
+			// Many requests with a faulty trait may end several targets at the same moment.
+			weight = max(weight, lateCrashWeight)
+		}
 	}
 	add()
 	return v
 }
 
 func (c *crashRecord) weight() int {
-	if c.age < beginningTime {
+	switch {
+	case c.age < beginningTime:
 		return crashWeight
+	case c.age < lateTime:
+		return lateCrashWeight
 	}
-	return lateCrashWeight
+	return veryLateCrashWeight
 }
 
 // count returns the number of crashes that are not cleared.
@@ -484,6 +504,11 @@
 	for _, trait := range sortedTraits(l.pending) {
 		l.judge(now, trait, false)
 	}
+	if l.disturbances.takeChanged() {
+		for _, trait := range sortedTraits(l.quarantined) {
+			l.judge(now, trait, false)
+		}
+	}
 	if now < l.nextPurgeAt {
 		return
 	}
@@ -527,7 +552,7 @@
 // HasEvidence reports whether the crashes of a trait are enough for a quarantine.
 func (l *Ledger) HasEvidence(trait state.Trait) bool {
 	record := l.records[trait]
-	return record != nil && record.judge().weight >= verdictWeight
+	return record != nil && record.judge(&l.disturbances).weight >= verdictWeight
 }
 
 // CrashesOf returns the crashes of a trait that are not cleared.
--- a/pkg/core/quarantine/moment.go
+++ b/pkg/core/quarantine/moment.go
@@ -10,7 +10,7 @@
 // beginningTime is how long an answer counts as beginning after its first event: a few passes of
 // an engine. It is short against the time of an answer, so that few of the other answers of a
 // target that ends are at their beginning.
-const beginningTime = 100 * time.Millisecond
+const beginningTime = 75 * time.Millisecond
 
 // moment is what an event of an attempt shows of its request and of the process of its target.
 //
@@ -18,7 +18,7 @@
 //	stream lost before the head        suspected       -
 //	stream lost before the first event crash           crash
 //	stream lost at its beginning       crash           crash
-//	stream lost later                  half a crash    half a crash
+//	stream lost later                  half a crash, a quarter after lateTime
 //	other answer lost                  crash           crash
 //	answer complete                    sound           sound
 //	answer with an error status        sound           -
