--- a/pkg/core/quarantine/moment_test.go
+++ b/pkg/core/quarantine/moment_test.go
@@ -44,10 +44,8 @@
 }
 
 // begin sends a request to a target, which begins to answer it.
-func (f *fleet) begin(target int, traits ...state.Trait) state.RequestID {
-	id := f.send(target, traits...)
-	f.receiveFirstEvent(id)
-	return id
+func (f *fleet) begin(target int, traits ...state.Trait) {
+	f.receiveFirstEvent(f.send(target, traits...))
 }
 
 // putTarget lists a process, or removes it if it has ended.
