--- a/pkg/core/quarantine/doc.go
+++ b/pkg/core/quarantine/doc.go
@@ -30,8 +30,9 @@
 //
 // An engine begins one answer after the other, so that of all streams of a group that ends few
 // are at the beginning of their answer. Later the loss says less, and more losses make a verdict:
-// doubt grows with the distance from the cause, and no loss counts for nothing. Other answers have
-// no head before they are complete, so that each request that the target held may be at fault.
+// doubt grows with the distance from the cause, and only in a disturbance a loss counts for nothing.
+// Other answers have no head before they are complete, so that each request that the target held
+// may be at fault.
 // Sound traits are answered all the time, the one at fault never is.
 //
 // A trait in quarantine is refused at once by all nodes. From some minutes after its last crash they
--- a/pkg/core/state/trait.go
+++ b/pkg/core/state/trait.go
@@ -81,10 +81,10 @@
 	Cleared bool   `cbor:"4,keyasint,omitempty"`
 	// Age is the time from the first event of the answer to its loss, 0 if it had none.
 	Age time.Duration `cbor:"5,keyasint,omitempty"`
-	// Ran is the time from the sending of the request to the loss.
-	Ran time.Duration `cbor:"7,keyasint,omitempty"`
 	// Tried is set if the request was a trial of the trait.
 	Tried bool `cbor:"6,keyasint,omitempty"`
+	// Ran is the time from the sending of the request to the loss.
+	Ran time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // QuarantineRow is a row of NodeTable that keeps the evidence on a trait in quarantine, so
